--- /dev/null
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/EngineAnswerReader.kt
@@ -0,0 +1,88 @@
+package org.bulrushtack.backend
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import org.bulrushtack.core.backend.EngineListener
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.http.HttpFailure
+import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.ResponseListener
+
+/** Reads an engine's answer; only the engine's own last event makes it whole. */
+internal class EngineAnswerReader(
+    private val mapper: ObjectMapper,
+    private val listener: EngineListener,
+) : ResponseListener {
+    private val lines = EventLines()
+    private val refusal = StringBuilder()
+    private var status = 0
+    private var incarnation: String? = null
+    private var ended = false
+
+    override fun onHead(status: Int, headers: HttpHeaderList) {
+        this.status = status
+        incarnation = headers.find(OrderHeaders.INCARNATION)
+    }
+
+    override fun onData(bytes: ByteArray) {
+        if (ended) return
+        if (status == STATUS_OK) {
+            lines.feed(bytes).forEach { read(it) }
+        } else if (refusal.length < MAXIMUM_REFUSAL) {
+            refusal.append(bytes.decodeToString())
+        }
+    }
+
+    override fun onEnd() {
+        if (ended) return
+        ended = true
+        if (status == STATUS_OK) {
+            listener.onLost(detail = "the answer ended early", incarnation = incarnation)
+        } else {
+            listener.onRefused(problem = problem(), incarnation = incarnation)
+        }
+    }
+
+    override fun onFailure(failure: HttpFailure) {
+        if (ended) return
+        ended = true
+        when {
+            failure.sent -> listener.onLost(detail = failure.reason, incarnation = incarnation)
+            else -> listener.onNotSent(detail = failure.reason)
+        }
+    }
+
+    private fun read(event: String) {
+        if (ended || event == DONE) return
+        val node = mapper.readTree(event)
+        val finish = node["finish_reason"]
+        if (finish != null && !finish.isNull) finish(node = node, reason = finish.asText()) else chunk(node)
+    }
+
+    private fun chunk(node: JsonNode) = listener.onChunk(
+        offset = node["offset"].asLong(),
+        tokens = node["tokens"].asLong(),
+        text = node["text"].asText(),
+    )
+
+    private fun finish(node: JsonNode, reason: String) {
+        ended = true
+        listener.onFinished(totalTokens = node["total_tokens"].asLong(), reason = reason, incarnation = incarnation)
+    }
+
+    private fun problem(): Problem {
+        val kind = when (status) {
+            STATUS_NOT_FOUND -> ErrorKind.UNKNOWN_MODEL
+            STATUS_BAD_REQUEST -> ErrorKind.MALFORMED_REQUEST
+            else -> ErrorKind.BACKEND_LOST
+        }
+        return Problem(kind = kind, detail = "The engine answered $status.")
+    }
+}
+
+private const val STATUS_OK = 200
+private const val STATUS_BAD_REQUEST = 400
+private const val STATUS_NOT_FOUND = 404
+private const val MAXIMUM_REFUSAL = 4_096
+private const val DONE = "[DONE]"
--- /dev/null
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
@@ -0,0 +1,49 @@
+package org.bulrushtack.backend
+
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
+import org.bulrushtack.core.backend.BackendCall
+import org.bulrushtack.core.backend.EngineClient
+import org.bulrushtack.core.backend.EngineListener
+import org.bulrushtack.core.backend.EngineRequest
+import org.bulrushtack.http.ClientCall
+import org.bulrushtack.http.ClientRequest
+import org.bulrushtack.http.HttpClient
+
+/** Model engines over HTTP, with answers as server-sent events. */
+public class HttpEngineClient(
+    private val client: HttpClient,
+) : EngineClient {
+    private val mapper: ObjectMapper = jacksonObjectMapper()
+
+    override fun start(address: String, request: EngineRequest, listener: EngineListener): BackendCall {
+        val body = mapper.createObjectNode()
+            .put("model", request.model)
+            .put("prompt", request.prompt.decodeToString())
+            .put("prompt_tokens", request.promptTokens)
+            .put("max_tokens", request.maximumTokens)
+            .put("resume_from", request.resumeFrom)
+            .put("priority", request.priority)
+            .put("stream", true)
+        val call = client.send(
+            request = ClientRequest(
+                method = "POST",
+                address = address,
+                path = "/v1/completions",
+                headers = OrderHeaders.of(request.order),
+                body = mapper.writeValueAsBytes(body),
+                fresh = true,
+            ),
+            listener = EngineAnswerReader(mapper = mapper, listener = listener),
+        )
+        return HttpBackendCall(call)
+    }
+
+    private class HttpBackendCall(
+        private val call: ClientCall,
+    ) : BackendCall {
+        override fun cancel() = call.cancel()
+
+        override fun setReading(reading: Boolean) = call.setReading(reading)
+    }
+}
--- /dev/null
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
@@ -0,0 +1,73 @@
+package org.bulrushtack.backend
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
+import org.bulrushtack.core.backend.BackendOrder
+import org.bulrushtack.core.backend.ServerInspector
+import org.bulrushtack.core.dispatch.RunningList
+import org.bulrushtack.core.dispatch.ServerReport
+import org.bulrushtack.http.ClientRequest
+import org.bulrushtack.http.HttpClient
+import org.bulrushtack.http.HttpMessageResponse
+import java.util.concurrent.CompletableFuture
+
+/** What backend servers say of themselves, over HTTP. */
+public class HttpServerInspector(
+    private val client: HttpClient,
+) : ServerInspector {
+    private val mapper: ObjectMapper = jacksonObjectMapper()
+
+    override fun list(address: String): CompletableFuture<Either<String, RunningList>> =
+        get(address = address, path = "/v1/requests") { node ->
+            RunningList(
+                incarnation = node["incarnation"].asText(),
+                capacityTokens = node["capacity_tokens"].asLong(),
+                leaving = node["leaving"].asBoolean(),
+                requests = node["requests"].map { running(it) },
+            )
+        }
+
+    override fun report(address: String): CompletableFuture<Either<String, ServerReport>> =
+        get(address = address, path = "/v1/load") { node ->
+            ServerReport(incarnation = node["incarnation"].asText(), cold = node["cold"].asBoolean())
+        }
+
+    override fun cancel(address: String, order: BackendOrder) {
+        client.exchange(
+            ClientRequest(
+                method = "POST",
+                address = address,
+                path = "/v1/requests/${order.serverRequestId}/cancel",
+                headers = OrderHeaders.of(order),
+                timeoutMillis = INSPECTION_MILLIS,
+            ),
+        )
+    }
+
+    private fun running(node: JsonNode): RunningList.RunningRequest = RunningList.RunningRequest(
+        id = node["id"].asText(),
+        owner = node["owner"].asText(),
+        ownerIncarnation = node["owner_incarnation"].asText(),
+        reservedTokens = node["reserved_tokens"].asLong(),
+    )
+
+    private fun <T> get(address: String, path: String, read: (JsonNode) -> T): CompletableFuture<Either<String, T>> {
+        val request =
+            ClientRequest(method = "GET", address = address, path = path, timeoutMillis = INSPECTION_MILLIS)
+        return client.exchange(request).thenApply { answer ->
+            answer.mapLeft { it.reason }.flatMap { decode(response = it, read = read) }
+        }
+    }
+
+    private fun <T> decode(response: HttpMessageResponse, read: (JsonNode) -> T): Either<String, T> {
+        if (response.status != STATUS_OK) return "status ${response.status}".left()
+        return Either.catch { read(mapper.readTree(response.body)) }.mapLeft { "unreadable answer: ${it.message}" }
+    }
+}
+
+private const val INSPECTION_MILLIS = 2_000L
+private const val STATUS_OK = 200
--- /dev/null
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpServiceClient.kt
@@ -0,0 +1,47 @@
+package org.bulrushtack.backend
+
+import org.bulrushtack.core.backend.ServiceClient
+import org.bulrushtack.core.backend.ServiceRequest
+import org.bulrushtack.core.backend.ServiceResult
+import org.bulrushtack.core.log.CallAnswer
+import org.bulrushtack.http.ClientRequest
+import org.bulrushtack.http.HttpClient
+import org.bulrushtack.http.HttpFailure
+import org.bulrushtack.http.HttpMessageResponse
+import java.util.Base64
+import java.util.concurrent.CompletableFuture
+
+/** Plain services over HTTP; each call has a connection of its own and is sent once. */
+public class HttpServiceClient(
+    private val client: HttpClient,
+) : ServiceClient {
+    override fun call(address: String, request: ServiceRequest): CompletableFuture<ServiceResult> {
+        val headers = OrderHeaders.of(request.order).with(name = "x-workspace", value = request.workspace)
+        val key = request.idempotencyKey
+        val message = ClientRequest(
+            method = "POST",
+            address = address,
+            path = "/${request.service}/${request.operation}",
+            headers = if (key == null) headers else headers.with(name = "idempotency-key", value = key),
+            body = request.body,
+            contentType = request.contentType,
+            fresh = true,
+            timeoutMillis = request.timeoutMillis,
+        )
+        return client.exchange(message).thenApply { it.fold(ifLeft = ::failed, ifRight = ::answered) }
+    }
+
+    private fun failed(failure: HttpFailure): ServiceResult = when {
+        failure.sent -> ServiceResult.Lost(detail = failure.reason)
+        else -> ServiceResult.NotSent(detail = failure.reason)
+    }
+
+    private fun answered(response: HttpMessageResponse): ServiceResult = ServiceResult.Answered(
+        answer = CallAnswer(
+            status = response.status,
+            contentType = response.contentType,
+            body = Base64.getEncoder().encodeToString(response.body),
+        ),
+        incarnation = response.headers.find(OrderHeaders.INCARNATION),
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/backend/EngineRequest.kt
@@ -0,0 +1,17 @@
+package org.bulrushtack.core.backend
+
+/**
+ * A completion for a model engine.
+ *
+ * @property resumeFrom how many tokens of the answer are known already; the engine goes on after them
+ * @property priority 0 for the most urgent
+ */
+public class EngineRequest(
+    public val order: BackendOrder,
+    public val model: String,
+    public val prompt: ByteArray,
+    public val promptTokens: Long,
+    public val maximumTokens: Long,
+    public val resumeFrom: Long,
+    public val priority: Int,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/backend/ServiceRequest.kt
@@ -0,0 +1,13 @@
+package org.bulrushtack.core.backend
+
+/** A call of a plain service. */
+public class ServiceRequest(
+    public val order: BackendOrder,
+    public val workspace: String,
+    public val service: String,
+    public val operation: String,
+    public val contentType: String,
+    public val body: ByteArray,
+    public val idempotencyKey: String?,
+    public val timeoutMillis: Long,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/ControlLoop.kt
@@ -0,0 +1,46 @@
+package org.bulrushtack.core.control
+
+import org.bulrushtack.core.call.CallController
+import org.bulrushtack.core.dispatch.DispatchController
+import org.bulrushtack.core.log.AppendController
+import org.bulrushtack.core.log.LogController
+import org.bulrushtack.core.log.SnapshotController
+import org.bulrushtack.core.membership.MembershipController
+import org.bulrushtack.core.ownership.OwnershipController
+import org.bulrushtack.core.request.CompletionController
+import org.bulrushtack.core.server.BackendServerDirectory
+import org.bulrushtack.core.server.RandomPairServerChoice
+import kotlin.random.Random
+
+/**
+ * All decisions of one daemon: each event goes to every controller in a fixed order. It has no clock and no
+ * thread of its own; the caller hands in the time and runs it on one thread.
+ */
+public class ControlLoop(
+    private val blackboard: Blackboard,
+    random: Random,
+) {
+    private val directory = BackendServerDirectory(blackboard = blackboard)
+    private val choice = RandomPairServerChoice(blackboard = blackboard, directory = directory, random = random)
+    private val identifiers = RecordIdentifiers(identity = blackboard.identity)
+    private val controllers: List<Controller> = listOf(
+        LogController(blackboard = blackboard, random = random),
+        MembershipController(blackboard = blackboard, random = random),
+        OwnershipController(blackboard = blackboard, directory = directory, identifiers = identifiers),
+        DispatchController(blackboard = blackboard, directory = directory),
+        CompletionController(blackboard = blackboard, directory = directory, choice = choice, random = random),
+        CallController(
+            blackboard = blackboard,
+            directory = directory,
+            choice = choice,
+            identifiers = identifiers,
+            random = random,
+        ),
+        SnapshotController(blackboard = blackboard, identifiers = identifiers),
+        AppendController(blackboard = blackboard),
+    )
+
+    /** Handles one event at [nowMillis] of the monotonic clock and says what is to be done, in order. */
+    public fun handle(event: Event, nowMillis: Long): List<Action> =
+        controllers.flatMap { it.handle(event = event, nowMillis = nowMillis) }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
@@ -0,0 +1,137 @@
+package org.bulrushtack.core.dispatch
+
+import org.bulrushtack.core.server.ServerSettings
+
+/**
+ * What an owner knows of one backend server: what it holds, how much it bears, and what waits for it. Memory is
+ * charged before dispatch and freed only by the server's word or by its new incarnation.
+ */
+public class Ledger(
+    public val server: String,
+) {
+    /** Whether this daemon owns the server now. */
+    public var open: Boolean = false
+
+    /** The fencing number of orders. */
+    public var fence: Long = 0
+
+    /** Since when [fence] is in use. */
+    public var fenceSinceMillis: Long = 0
+
+    /** Whether the server has accepted an order under [fence]. */
+    public var fenceAccepted: Boolean = false
+
+    /** The share of the server's bounds that this daemon may use, from 0 to 1. */
+    public var share: Double = NO_SHARE
+
+    /** The server's incarnation, or null until its list was read. */
+    public var incarnation: String? = null
+
+    /** Whether the server may be in cold start. */
+    public var cold: Boolean = true
+
+    /** Whether the server said that it is leaving. */
+    public var leaving: Boolean = false
+
+    /** The server's memory, in tokens. */
+    public var capacityTokens: Long = 0
+
+    /** Whether the server's list was read since this daemon took it over. */
+    public var listed: Boolean = false
+
+    /** When a connection to the server was last lost without an explanation, or null. */
+    public var suspectSinceMillis: Long? = null
+
+    /** When the ramp from cold start began, or null. */
+    public var rampSinceMillis: Long? = null
+
+    /** How many requests the server ran when the ramp began. */
+    public var rampFloor: Int = 0
+
+    /** What this daemon has dispatched and not seen ended. */
+    public val running: LinkedHashMap<WorkId, Charge> = LinkedHashMap()
+
+    /** What the server's list shows beside [running], by the server's request identifier. */
+    public var foreign: Map<String, RunningList.RunningRequest> = emptyMap()
+
+    /** What waits, the next first. */
+    public val queue: MutableList<Work> = ArrayList()
+
+    /** How long the first of [queue] has not fitted, as the time when that began. */
+    public var headBlockedSinceMillis: Long? = null
+
+    /** Tokens that the server holds or is about to hold. */
+    public fun heldTokens(): Long = ownTokens() + foreign.values.sumOf { it.reservedTokens }
+
+    /** Tokens charged for this daemon's dispatches. */
+    public fun ownTokens(): Long = running.values.sumOf { it.work.reservedTokens }
+
+    /** The whole bound on requests at once, for all senders together. */
+    public fun bound(settings: ServerSettings, nowMillis: Long): Int {
+        val rampSince = rampSinceMillis
+        if (!listed || incarnation == null) return 0
+        if (cold || rampSince == null || suspectSinceMillis != null) return settings.coldConcurrency
+        val floor = maxOf(settings.coldConcurrency, rampFloor)
+        if (settings.rampMillis == 0L) return settings.warmConcurrency
+        val risen = (settings.warmConcurrency - floor) * (nowMillis - rampSince) / settings.rampMillis
+        return (floor + risen).coerceAtMost(settings.warmConcurrency.toLong()).toInt()
+    }
+
+    /** Whether one more request fits under the bound and this daemon's share of it. */
+    public fun hasRoom(settings: ServerSettings, nowMillis: Long): Boolean {
+        val bound = bound(settings = settings, nowMillis = nowMillis)
+        return running.size < (bound * share).toInt() && running.size + foreign.size < bound
+    }
+
+    /** Whether [work] fits into the server's memory, its own share of it, and the part that long work may take. */
+    public fun fitsMemory(work: Work, settings: ServerSettings): Boolean {
+        val tokens = work.reservedTokens
+        if (tokens == 0L) return true
+        val fitsShare = ownTokens() + tokens <= (capacityTokens * share).toLong()
+        return fitsShare && heldTokens() + tokens <= capacityTokens && fitsLongShare(tokens, settings)
+    }
+
+    /** Whether [work] waits only for other long work to end. */
+    public fun waitsForLongShare(work: Work, settings: ServerSettings): Boolean =
+        !fitsLongShare(work.reservedTokens, settings)
+
+    /** Takes over the server anew: nothing is known of it until its list was read. */
+    public fun reset() {
+        listed = false
+        fenceAccepted = false
+        rampSinceMillis = null
+        rampFloor = 0
+        cold = true
+    }
+
+    private fun fitsLongShare(tokens: Long, settings: ServerSettings): Boolean {
+        if (tokens <= settings.longTokens) return true
+        val longTokens = running.values.map { it.work.reservedTokens }.filter { it > settings.longTokens }.sum()
+        val limit = capacityTokens * settings.longSharePercent / PERCENT
+        return longTokens == 0L || longTokens + tokens <= limit
+    }
+
+    /**
+     * One dispatch.
+     *
+     * @property lostAtMillis when its connection was lost while the server may still hold it, or null
+     */
+    public data class Charge(
+        val work: Work,
+        val startedAtMillis: Long,
+        val lostAtMillis: Long? = null,
+    )
+
+    public companion object {
+        /** The share of a confirmed owner without an uncertain predecessor. */
+        public const val FULL_SHARE: Double = 1.0
+
+        /** The share of an owner that is not sure to be the only one. */
+        public const val HALF_SHARE: Double = 0.5
+
+        /** The share of a daemon that must not dispatch. */
+        public const val NO_SHARE: Double = 0.0
+    }
+}
+
+private const val PERCENT = 100
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/LedgersRegion.kt
@@ -0,0 +1,63 @@
+package org.bulrushtack.core.dispatch
+
+import org.bulrushtack.core.membership.ServerLoad
+
+/**
+ * The part of the blackboard that holds the ledgers of owned backend servers. The ownership controller opens and
+ * closes them, the dispatch controller writes what is in them.
+ */
+public class LedgersRegion {
+    private val ledgers = LinkedHashMap<String, Ledger>()
+
+    /** When this daemon first saw a backend server without a living owner, or null. */
+    public var startedAtMillis: Long? = null
+
+    /** Opens the ledger of [server] for orders under [fence]. */
+    public fun open(server: String, fence: Long, nowMillis: Long): Ledger {
+        val ledger = ledgers.getOrPut(server) { Ledger(server = server) }
+        if (!ledger.open) ledger.reset()
+        if (ledger.fence != fence) {
+            ledger.fence = fence
+            ledger.fenceSinceMillis = nowMillis
+            ledger.fenceAccepted = false
+        }
+        ledger.open = true
+        return ledger
+    }
+
+    /** Ends the ownership of [server]; dispatches that run are seen to their end. */
+    public fun close(server: String) {
+        val ledger = ledgers[server] ?: return
+        ledger.open = false
+        ledger.share = Ledger.NO_SHARE
+        if (ledger.running.isEmpty() && ledger.queue.isEmpty()) ledgers.remove(server)
+    }
+
+    /** The ledger of [server], open or not, or null. */
+    public fun find(server: String): Ledger? = ledgers[server]
+
+    /** The names of all backend servers with a ledger. */
+    public fun names(): List<String> = ledgers.keys.toList()
+
+    /** All ledgers. */
+    public fun all(): Collection<Ledger> = ledgers.values
+
+    /** The ledgers of backend servers that this daemon owns. */
+    public fun openLedgers(): List<Ledger> = ledgers.values.filter { it.open }
+
+    /** What to say of owned servers in a heartbeat: [limit] of them, others in the next [round]. */
+    public fun loads(limit: Int, round: Long): List<ServerLoad> {
+        val open = openLedgers()
+        if (open.isEmpty()) return emptyList()
+        val start = (round * limit % open.size).toInt()
+        return List(minOf(limit, open.size)) { open[(start + it) % open.size] }.map { ledger ->
+            ServerLoad(
+                server = ledger.server,
+                freeTokens = ledger.capacityTokens - ledger.heldTokens(),
+                capacityTokens = ledger.capacityTokens,
+                queuedWork = ledger.queue.sumOf { it.expectedMillis },
+                running = ledger.running.size + ledger.foreign.size,
+            )
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/QueuePolicy.kt
@@ -0,0 +1,7 @@
+package org.bulrushtack.core.dispatch
+
+/** Decides the order of an owner's queue. */
+public fun interface QueuePolicy {
+    /** The rank of [work]; the lowest goes first. It doesn't change while the work waits. */
+    public fun rank(work: Work): Long
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
@@ -0,0 +1,80 @@
+package org.bulrushtack.core.dispatch
+
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.Event
+
+/** Brings a backend server's own words into its ledger and cancels what no living daemon waits for. */
+internal class ServerObserver(
+    private val blackboard: Blackboard,
+) {
+    private val ledgers = blackboard.ledgers
+
+    /** Takes a load report; one of another incarnation is too late to count. */
+    fun report(event: Event.ServerReported, nowMillis: Long): List<Action> {
+        val ledger = ledgers.find(event.server) ?: return emptyList()
+        if (event.report.incarnation != ledger.incarnation) return emptyList()
+        if (event.report.cold) cool(ledger)
+        if (!event.report.cold && ledger.cold) {
+            ledger.cold = false
+            ledger.rampSinceMillis = nowMillis
+            ledger.rampFloor = ledger.running.size + ledger.foreign.size
+        }
+        return emptyList()
+    }
+
+    /** Takes the server's list; requests that it no longer holds free their memory. */
+    fun list(event: Event.ServerListed, address: String?, nowMillis: Long): List<Action> {
+        val ledger = ledgers.find(event.server) ?: return emptyList()
+        val list = event.list
+        seeIncarnation(ledger = ledger, incarnation = list.incarnation)
+        ledger.capacityTokens = list.capacityTokens
+        ledger.leaving = list.leaving
+        freeWhatEnded(ledger = ledger, event = event)
+        val own = ledger.running.keys.map { it.serverRequestId }.toSet()
+        ledger.foreign = list.requests.filter { it.id !in own }.associateBy { it.id }
+        ledger.listed = true
+        val suspectSince = ledger.suspectSinceMillis
+        if (suspectSince != null && event.askedAtMillis >= suspectSince) ledger.suspectSinceMillis = null
+        return if (address == null) emptyList() else cancels(ledger = ledger, address = address, nowMillis = nowMillis)
+    }
+
+    /** Notes the server's incarnation; a new one is cold and holds nothing of before. */
+    fun seeIncarnation(ledger: Ledger, incarnation: String) {
+        if (ledger.incarnation == incarnation) return
+        ledger.incarnation = incarnation
+        ledger.foreign = emptyMap()
+        cool(ledger)
+    }
+
+    private fun cool(ledger: Ledger) {
+        ledger.cold = true
+        ledger.rampSinceMillis = null
+        ledger.rampFloor = 0
+    }
+
+    /** Only dispatches from before the question can be missing from its answer because they ended. */
+    private fun freeWhatEnded(ledger: Ledger, event: Event.ServerListed) {
+        val held = event.list.requests.map { it.id }.toSet()
+        ledger.running.values
+            .filter { charge -> charge.lostAtMillis?.let { it <= event.askedAtMillis } ?: false }
+            .filter { it.work.id.serverRequestId !in held }
+            .forEach { ledger.running.remove(it.work.id) }
+    }
+
+    private fun cancels(ledger: Ledger, address: String, nowMillis: Long): List<Action> {
+        val lost = ledger.running.values.filter { it.lostAtMillis != null }.map { it.work.id.serverRequestId }
+        val orphans = ledger.foreign.values.filter { isOrphan(it, nowMillis) }.map { it.id }
+        return (lost + orphans).map { id ->
+            Action.CancelOnServer(server = ledger.server, address = address, serverRequestId = id, fence = ledger.fence)
+        }
+    }
+
+    private fun isOrphan(request: RunningList.RunningRequest, nowMillis: Long): Boolean {
+        val self = blackboard.identity
+        if (request.owner == self.name) return true
+        val member = blackboard.members.members[request.owner] ?: return true
+        val restarted = member.digest.incarnation != request.ownerIncarnation
+        return restarted || !blackboard.members.isLive(name = request.owner, nowMillis = nowMillis)
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/CallKey.kt
@@ -0,0 +1,8 @@
+package org.bulrushtack.core.log
+
+/** Names one call of a plain service that may run at most once. */
+public data class CallKey(
+    val workspace: String,
+    val service: String,
+    val idempotencyKey: String,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/EditSummary.kt
@@ -0,0 +1,18 @@
+package org.bulrushtack.core.log
+
+import org.bulrushtack.core.settings.SettingAddress
+import org.bulrushtack.core.settings.SettingChange
+
+/**
+ * One edit as the fold decided it.
+ *
+ * @property conflicts the settings that another edit had changed first; empty for an accepted edit
+ */
+public data class EditSummary(
+    val id: String,
+    val offset: Long,
+    val appendedAtMillis: Long,
+    val operator: String,
+    val changes: List<SettingChange>,
+    val conflicts: List<SettingAddress>,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/LogRegion.kt
@@ -0,0 +1,44 @@
+package org.bulrushtack.core.log
+
+/** The part of the blackboard that holds the folded log. Written by [LogController] and [AppendController]. */
+public class LogRegion {
+    /** The folded state. */
+    public val folder: LogFolder = LogFolder()
+
+    /** What the current event folded, in order; empty for other events. */
+    public var folded: List<FoldedEntry> = emptyList()
+
+    /** The highest tail known. */
+    public var tailOffset: Long = 0
+
+    /** As of when, by the monotonic clock, [tailOffset] was the tail; null when no tail was ever known. */
+    public var tailKnownAtMillis: Long? = null
+
+    /** Whether this daemon has loaded a state that reached a tail; before that it admits nothing. */
+    public var configured: Boolean = false
+
+    /** The last entries, for peers that can't reach the log. */
+    public val recent: ArrayDeque<LogEntry> = ArrayDeque()
+
+    /** Records that wait to be appended or whose append is not settled, by identifier. */
+    public val pending: LinkedHashMap<String, PendingAppend> = LinkedHashMap()
+
+    /** The age of the knowledge of the tail, or null. */
+    public fun tailAgeMillis(nowMillis: Long): Long? = tailKnownAtMillis?.let { nowMillis - it }
+
+    /** Whether all records through a tail that is younger than the lease are folded. */
+    public fun isConfirmed(nowMillis: Long): Boolean {
+        val age = tailAgeMillis(nowMillis) ?: return false
+        return age <= CONFIRMATION_MILLIS && folder.appliedOffset >= tailOffset
+    }
+
+    /** Asks for [record] to be appended, until [givesUpAtMillis] where that is given. */
+    public fun append(record: LogRecord, givesUpAtMillis: Long? = null) {
+        pending[record.id] = PendingAppend(record = record, givesUpAtMillis = givesUpAtMillis)
+    }
+
+    public companion object {
+        /** How long the knowledge of the log's tail confirms an ownership, in milliseconds. */
+        public const val CONFIRMATION_MILLIS: Long = 3_000
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
@@ -0,0 +1,89 @@
+package org.bulrushtack.core.membership
+
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.Controller
+import org.bulrushtack.core.control.Event
+import kotlin.random.Random
+
+/**
+ * Keeps the members: sends heartbeats to a few random daemons and passes on what it heard of others.
+ * Reads the log and ledger regions, writes the members region.
+ */
+internal class MembershipController(
+    private val blackboard: Blackboard,
+    private val random: Random,
+) : Controller {
+    private val region = blackboard.members
+    private var nextHeartbeatAtMillis = 0L
+
+    override fun handle(event: Event, nowMillis: Long): List<Action> = when (event) {
+        is Event.Tick -> heartbeats(nowMillis)
+        is Event.VmListRead -> readVms(event)
+        is Event.HeartbeatReceived -> receive(event = event, nowMillis = nowMillis)
+        is Event.DrainRequested -> leave()
+        else -> emptyList()
+    }
+
+    private fun heartbeats(nowMillis: Long): List<Action> {
+        if (nowMillis < nextHeartbeatAtMillis) return emptyList()
+        nextHeartbeatAtMillis = nowMillis + HEARTBEAT_MILLIS
+        region.heartbeatCount++
+        val message = blackboard.heartbeat(nowMillis)
+        return region.peers(blackboard.identity.name)
+            .shuffled(random)
+            .take(HEARTBEAT_FAN_OUT)
+            .map { Action.SendHeartbeat(peer = it.name, address = it.peerAddress, message = message) }
+    }
+
+    private fun readVms(event: Event.VmListRead): List<Action> {
+        region.vms = event.records.associateBy { it.name }
+        return emptyList()
+    }
+
+    private fun leave(): List<Action> {
+        region.leaving = true
+        nextHeartbeatAtMillis = 0
+        return emptyList()
+    }
+
+    private fun receive(event: Event.HeartbeatReceived, nowMillis: Long): List<Action> {
+        val message = event.message
+        message.members.forEach { hear(digest = it, direct = false, nowMillis = nowMillis) }
+        hear(digest = message.sender, direct = true, nowMillis = nowMillis)
+        if (event.answersAskedAtMillis != null) region.lastAnswerAtMillis[message.sender.name] = nowMillis
+        message.loads.forEach { load ->
+            region.loads[load.server] = MembersRegion.OwnedLoad(
+                owner = message.sender.name,
+                load = load,
+                heardAtMillis = nowMillis,
+            )
+        }
+        return emptyList()
+    }
+
+    private fun hear(digest: MemberDigest, direct: Boolean, nowMillis: Long) {
+        if (digest.name == blackboard.identity.name) return
+        val known = region.members[digest.name]
+        region.members[digest.name] = when {
+            known == null || replaces(digest = digest, known = known, direct = direct, nowMillis = nowMillis) ->
+                Member(digest = digest, firstHeardAtMillis = nowMillis, lastAdvanceAtMillis = nowMillis)
+            digest.incarnation == known.digest.incarnation && digest.heartbeatCount > known.digest.heartbeatCount ->
+                known.copy(digest = digest, lastAdvanceAtMillis = nowMillis)
+            else -> known
+        }
+    }
+
+    /**
+     * A digest of an earlier incarnation that arrives late must not displace a live one. After a restart with
+     * the clock set back, the daemon's own word counts once the earlier incarnation has lapsed.
+     */
+    private fun replaces(digest: MemberDigest, known: Member, direct: Boolean, nowMillis: Long): Boolean {
+        if (digest.incarnation == known.digest.incarnation) return false
+        if (digest.incarnation > known.digest.incarnation) return true
+        return direct && !region.isLive(name = digest.name, nowMillis = nowMillis)
+    }
+}
+
+private const val HEARTBEAT_MILLIS = 500L
+private const val HEARTBEAT_FAN_OUT = 3
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
@@ -0,0 +1,58 @@
+package org.bulrushtack.core.ownership
+
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.dispatch.Ledger
+import org.bulrushtack.core.log.OwnerEntry
+import org.bulrushtack.core.server.BackendServer
+
+/**
+ * Says how much of a backend server's bounds its recorded owner may use, so that an owner that was paused or cut
+ * off and its successor stay within the bounds together, also where the server ignores fencing numbers.
+ */
+internal class OwnershipShares(
+    private val blackboard: Blackboard,
+) {
+    /** The share of [server]'s bounds for its recorded owner at [nowMillis], from 0 to 1. */
+    fun recorded(server: BackendServer, entry: OwnerEntry?, nowMillis: Long, ledger: Ledger): Double {
+        if (!blackboard.log.isConfirmed(nowMillis)) return unconfirmed(nowMillis)
+        if (server.settings.checksFencing && ledger.fenceAccepted) return Ledger.FULL_SHARE
+        val uncertain = entry?.predecessors.orEmpty().count { mayStillDispatch(it, entry, nowMillis, ledger) }
+        return maxOf(0.0, Ledger.FULL_SHARE - uncertain * Ledger.HALF_SHARE)
+    }
+
+    private fun unconfirmed(nowMillis: Long): Double {
+        val hears = blackboard.members.hearsMajority(
+            self = blackboard.identity.name,
+            nowMillis = nowMillis,
+            windowMillis = ISOLATION_MILLIS,
+        )
+        return if (hears) Ledger.HALF_SHARE else Ledger.NO_SHARE
+    }
+
+    /** A predecessor is certain once it has folded this epoch, was replaced, or must have stopped by itself. */
+    private fun mayStillDispatch(
+        predecessor: OwnerEntry.Predecessor,
+        entry: OwnerEntry?,
+        nowMillis: Long,
+        ledger: Ledger,
+    ): Boolean {
+        val self = blackboard.identity
+        val digest = blackboard.members.members[predecessor.owner]?.digest
+        val epoch = entry?.epoch ?: 0
+        return when {
+            predecessor.owner == self.name -> false
+            digest != null && digest.incarnation != predecessor.incarnation -> false
+            digest != null && digest.appliedOffset >= epoch -> false
+            else -> nowMillis - ledger.fenceSinceMillis < STOPPED_MILLIS || !hearsMajority(nowMillis)
+        }
+    }
+
+    private fun hearsMajority(nowMillis: Long): Boolean = blackboard.members.hearsMajority(
+        self = blackboard.identity.name,
+        nowMillis = nowMillis,
+        windowMillis = ISOLATION_MILLIS,
+    )
+}
+
+private const val ISOLATION_MILLIS = 10_000L
+private const val STOPPED_MILLIS = 30_000L
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/platform/VmDirectory.kt
@@ -0,0 +1,11 @@
+package org.bulrushtack.core.platform
+
+import arrow.core.Either
+import org.bulrushtack.core.membership.VmRecord
+import java.util.concurrent.CompletableFuture
+
+/** The platform's list of VMs; it lags. */
+public fun interface VmDirectory {
+    /** Reads the whole list. */
+    public fun read(): CompletableFuture<Either<PlatformFailure, List<VmRecord>>>
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/RetryBudget.kt
@@ -0,0 +1,29 @@
+package org.bulrushtack.core.request
+
+/**
+ * Allows retries as a share of first tries, so that a failing data centre doesn't multiply its own load.
+ *
+ * @property share retries earned by each first try
+ * @property maximum most retries that can be saved up
+ */
+public class RetryBudget(
+    private val share: Double = DEFAULT_SHARE,
+    private val maximum: Double = DEFAULT_MAXIMUM,
+) {
+    private var saved = maximum
+
+    /** Notes a first try. */
+    public fun earn() {
+        saved = minOf(maximum, saved + share)
+    }
+
+    /** Takes one retry, or says that there is none left. */
+    public fun spend(): Boolean {
+        if (saved < 1) return false
+        saved -= 1
+        return true
+    }
+}
+
+private const val DEFAULT_SHARE = 0.2
+private const val DEFAULT_MAXIMUM = 50.0
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/server/RandomPairServerChoice.kt
@@ -0,0 +1,54 @@
+package org.bulrushtack.core.server
+
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.dispatch.Ledger
+import kotlin.random.Random
+
+/**
+ * The less loaded of two random servers. Loads are the owners' words in heartbeats, and this daemon's own ledger
+ * for servers that it owns; both are corrected by the attempts that this daemon has under way.
+ */
+internal class RandomPairServerChoice(
+    private val blackboard: Blackboard,
+    private val directory: BackendServerDirectory,
+    private val random: Random,
+) : ServerChoice {
+    override fun choose(need: ServerNeed, nowMillis: Long): BackendServer? {
+        val open = need.candidates.filter { isOpen(server = it, need = need, nowMillis = nowMillis) }
+        val fresh = open.filter { it.name !in need.avoid }
+        val pool = fresh.ifEmpty { open }
+        if (pool.isEmpty()) return null
+        val first = pool.random(random)
+        val second = pool.random(random)
+        return listOf(first, second).minByOrNull { score(server = it, need = need) }
+    }
+
+    private fun isOpen(server: BackendServer, need: ServerNeed, nowMillis: Long): Boolean {
+        val capacity = capacityTokens(server)
+        val fits = capacity == null || need.reservedTokens <= capacity
+        return fits && directory.acceptsNewWork(server) && directory.currentOwner(server, nowMillis) != null
+    }
+
+    private fun score(server: BackendServer, need: ServerNeed): Double {
+        val own = blackboard.ledgers.find(server.name)?.takeIf { it.open }
+        val load = blackboard.members.loads[server.name]?.load
+        val running = own?.let { it.running.size + it.foreign.size } ?: load?.running ?: 0
+        val queued = own?.let { ledger -> ledger.queue.sumOf { it.expectedMillis } } ?: load?.queuedWork ?: 0
+        val free = own?.let { it.capacityTokens - it.heldTokens() } ?: load?.freeTokens ?: 0
+        val underWay = blackboard.requests.underWay[server.name] ?: 0
+        val crowding = if (server.isEngine && need.reservedTokens > free) MEMORY_PENALTY else 0.0
+        val distance = if (server.vm.dataCentre == blackboard.identity.dataCentre) 0.0 else DISTANCE_PENALTY
+        val busy = maxOf(running, underWay).toDouble() / server.settings.warmConcurrency
+        return busy + queued / QUEUE_SCALE_MILLIS + crowding + distance
+    }
+
+    private fun capacityTokens(server: BackendServer): Long? {
+        val own: Ledger? = blackboard.ledgers.find(server.name)?.takeIf { it.listed }
+        val known = own?.capacityTokens ?: blackboard.members.loads[server.name]?.load?.capacityTokens
+        return known?.takeIf { it > 0 }
+    }
+}
+
+private const val MEMORY_PENALTY = 2.0
+private const val DISTANCE_PENALTY = 0.05
+private const val QUEUE_SCALE_MILLIS = 10_000.0
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/settings/SettingSpecification.kt
@@ -0,0 +1,19 @@
+package org.bulrushtack.core.settings
+
+/**
+ * What is known of one setting of the tree.
+ *
+ * @property branches the top branches that may hold it; it may always stand at the root unless [secret]
+ * @property default the value where no branch sets it
+ * @property unit the unit of a number, or an empty string
+ * @property secret whether it belongs to exactly one branch and is never inherited or shown
+ */
+public data class SettingSpecification(
+    val key: String,
+    val type: SettingType,
+    val default: String,
+    val branches: Set<String>,
+    val description: String,
+    val unit: String = "",
+    val secret: Boolean = false,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsTree.kt
@@ -0,0 +1,61 @@
+package org.bulrushtack.core.settings
+
+/** The tree of settings at one version; an edit gives a new tree. */
+public data class SettingsTree(
+    val values: Map<SettingAddress, SettingValue> = emptyMap(),
+) {
+    private val ownersByKeyHash: Map<String, SettingsPath> by lazy { indexKeyHashes() }
+
+    /** The version of a setting; 0 when it was never set. */
+    public fun version(address: SettingAddress): Long = values[address]?.version ?: 0
+
+    /** The value in force for [key] at [path]: the branch's own, else the nearest parent's, else the default. */
+    public fun resolve(path: SettingsPath, key: String): ResolvedSetting {
+        var branch: SettingsPath? = path
+        while (branch != null) {
+            val value = values[SettingAddress(path = branch, key = key)]?.value
+            if (value != null) return ResolvedSetting(key = key, value = value, source = branch)
+            branch = branch.parent
+        }
+        val default = SettingsSchema.find(key)?.default.orEmpty()
+        return ResolvedSetting(key = key, value = default, source = null)
+    }
+
+    /** The value in force as a number; the schema has checked it before the edit. */
+    public fun number(path: SettingsPath, key: String): Long =
+        resolve(path, key).value.toLongOrNull() ?: SettingsSchema.find(key)?.default?.toLongOrNull() ?: 0
+
+    /** The value in force as a list. */
+    public fun list(path: SettingsPath, key: String): List<String> = SettingType.splitList(resolve(path, key).value)
+
+    /** Whether [path] or a branch below it holds a value. */
+    public fun exists(path: SettingsPath): Boolean = values.any { (address, value) ->
+        value.value != null && address.path.segments.take(path.segments.size) == path.segments
+    }
+
+    /** The names of the branches directly below [path], in order. */
+    public fun children(path: SettingsPath): List<String> = values
+        .filter { (address, value) -> value.value != null && isBelow(address.path, path) }
+        .map { (address, _) -> address.path.segments[path.segments.size] }
+        .distinct()
+        .sorted()
+
+    /** The branch whose `key-hashes` holds [hash], or null. */
+    public fun ownerOfKeyHash(hash: String): SettingsPath? = ownersByKeyHash[hash]
+
+    /** The changes that don't match the versions of this tree; an empty list when the edit may be applied. */
+    public fun conflicts(changes: List<SettingChange>): List<SettingAddress> =
+        changes.filter { version(it.address) != it.expectedVersion }.map { it.address }
+
+    /** The tree after [changes], which get [version]. */
+    public fun apply(changes: List<SettingChange>, version: Long): SettingsTree =
+        SettingsTree(values = values + changes.map { it.address to SettingValue(value = it.value, version = version) })
+
+    private fun isBelow(path: SettingsPath, above: SettingsPath): Boolean =
+        path.segments.size > above.segments.size && path.segments.take(above.segments.size) == above.segments
+
+    private fun indexKeyHashes(): Map<String, SettingsPath> = values
+        .filterKeys { it.key == SettingsSchema.KEY_HASHES }
+        .flatMap { (address, value) -> SettingType.splitList(value.value.orEmpty()).map { it to address.path } }
+        .toMap()
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
@@ -0,0 +1,75 @@
+package org.bulrushtack.daemon.control
+
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.ControlLoop
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.daemon.PartLog
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
+import java.util.concurrent.RejectedExecutionException
+import java.util.concurrent.TimeUnit
+
+/** Runs the control loop on its one thread. */
+class ControlThread(
+    private val blackboard: Blackboard,
+    private val loop: ControlLoop,
+    private val clock: MonotonicClock,
+) {
+    private val log = PartLog(part = "control")
+    private val executor = Executors.newSingleThreadScheduledExecutor { task ->
+        Thread(task, "control").also { it.isDaemon = true }
+    }
+
+    /** What the controllers ask for goes here, on the control thread. */
+    var onAction: (Action) -> Unit = {}
+
+    /** A view of the state for other threads, made anew after each tick and each change of the log. */
+    @Volatile
+    var view: DaemonView = DaemonView.of(blackboard = blackboard, nowMillis = clock.nowMillis())
+        private set
+
+    /** Starts the ticks. */
+    fun start() {
+        executor.scheduleWithFixedDelay({ run(Event.Tick) }, 0, TICK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Stops the thread; events that wait are dropped. */
+    fun stop() {
+        executor.shutdownNow()
+    }
+
+    /** Hands [event] to the control loop; may be called on any thread. */
+    fun post(event: Event) = submit { run(event) }
+
+    /** Reads the blackboard on the control thread. */
+    fun <T> query(read: (Blackboard, Long) -> T): CompletableFuture<T> {
+        val result = CompletableFuture<T>()
+        submit { result.complete(read(blackboard, clock.nowMillis())) }
+        return result
+    }
+
+    private fun submit(task: () -> Unit) {
+        try {
+            executor.execute(task)
+        } catch (exception: RejectedExecutionException) {
+            log.debug { "An event came after the end: ${exception.message}." }
+        }
+    }
+
+    /** A fault in a controller must not end the ticks. */
+    @Suppress("TooGenericExceptionCaught")
+    private fun run(event: Event) {
+        try {
+            val nowMillis = clock.nowMillis()
+            loop.handle(event = event, nowMillis = nowMillis).forEach { onAction(it) }
+            if (event is Event.Tick || event is Event.RecordsRead || event is Event.DrainRequested) {
+                view = DaemonView.of(blackboard = blackboard, nowMillis = nowMillis)
+            }
+        } catch (exception: RuntimeException) {
+            log.warn { "An event failed: ${event::class.simpleName}: ${exception.stackTraceToString()}" }
+        }
+    }
+}
+
+private const val TICK_MILLIS = 50L
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionResource.kt
@@ -0,0 +1,69 @@
+package org.bulrushtack.daemon.front
+
+import org.bulrushtack.core.request.CompletionRequest
+import org.bulrushtack.core.settings.SettingsPath
+import org.bulrushtack.core.settings.SettingsSchema
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.MonotonicClock
+import org.bulrushtack.daemon.taking.CompletionEdge
+import org.bulrushtack.daemon.taking.CompletionMessage
+import org.bulrushtack.daemon.taking.CompletionSession
+import org.bulrushtack.daemon.taking.StreamedCompletionWriter
+import org.bulrushtack.daemon.taking.WholeCompletionWriter
+import org.bulrushtack.http.HttpExchange
+
+/** Takes completions from callers. */
+internal class CompletionResource(
+    private val gate: CallerGate,
+    private val control: ControlThread,
+    private val clock: MonotonicClock,
+    private val edge: CompletionEdge,
+) : Resource {
+    override fun handle(exchange: HttpExchange, requestId: String) {
+        gate.admit(exchange = exchange, requestId = requestId) { workspace ->
+            CompletionBody.parse(exchange.request.body).fold(
+                ifLeft = { gate.refuse(exchange = exchange, problem = it, requestId = requestId) },
+                ifRight = { take(exchange = exchange, requestId = requestId, workspace = workspace, body = it) },
+            )
+        }
+    }
+
+    private fun take(exchange: HttpExchange, requestId: String, workspace: String, body: CompletionBody) {
+        val nowMillis = clock.nowMillis()
+        val request = CompletionRequest(
+            id = requestId,
+            workspace = workspace,
+            model = body.model,
+            promptTokens = body.promptTokens,
+            maximumTokens = body.maximumTokens,
+            receivedAtMillis = nowMillis,
+            deadlineAtMillis = nowMillis + deadlineMillis(workspace = workspace, body = body),
+        )
+        val message = CompletionMessage(
+            requestId = requestId,
+            model = body.model,
+            promptTokens = body.promptTokens,
+        )
+        val writer = when {
+            body.stream -> StreamedCompletionWriter(exchange = exchange, requestId = requestId, message = message)
+            else -> WholeCompletionWriter(exchange = exchange, requestId = requestId, message = message)
+        }
+        val session = CompletionSession(
+            request = request,
+            prompt = body.prompt,
+            writer = writer,
+            clock = clock,
+            observer = edge,
+        )
+        exchange.onClosed { session.abandon() }
+        edge.take(session)
+    }
+
+    private fun deadlineMillis(workspace: String, body: CompletionBody): Long {
+        val path = SettingsPath.ROOT.child(SettingsSchema.WORKSPACES).descend(workspace)
+        val seconds = body.deadlineSeconds ?: control.view.tree.number(path, SettingsSchema.DEADLINE_SECONDS)
+        return seconds * MILLIS_PER_SECOND
+    }
+}
+
+private const val MILLIS_PER_SECOND = 1_000L
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HealthResource.kt
@@ -0,0 +1,35 @@
+package org.bulrushtack.daemon.front
+
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.life.DaemonMetrics
+import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpMessageResponse
+
+/** Says whether the process lives, whether it takes requests, and gives its measures. */
+internal class HealthResource(
+    private val control: ControlThread,
+    private val metrics: DaemonMetrics,
+) {
+    /** Answers 200 while the process lives. */
+    fun live(exchange: HttpExchange) = exchange.respond(text(status = STATUS_OK, text = "live\n"))
+
+    /** Answers 200 while the daemon has a configuration and isn't leaving, else 503. */
+    fun ready(exchange: HttpExchange) {
+        val view = control.view
+        val response = when {
+            view.leaving -> text(status = STATUS_UNAVAILABLE, text = "leaving\n")
+            !view.configured -> text(status = STATUS_UNAVAILABLE, text = "no configuration yet\n")
+            else -> text(status = STATUS_OK, text = "ready\n")
+        }
+        exchange.respond(response)
+    }
+
+    /** The measures for Prometheus. */
+    fun metrics(exchange: HttpExchange) = exchange.respond(text(status = STATUS_OK, text = metrics.scrape()))
+
+    private fun text(status: Int, text: String): HttpMessageResponse =
+        HttpMessageResponse(status = status, contentType = "text/plain; charset=utf-8", body = text.toByteArray())
+}
+
+private const val STATUS_OK = 200
+private const val STATUS_UNAVAILABLE = 503
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/ServiceResource.kt
@@ -0,0 +1,83 @@
+package org.bulrushtack.daemon.front
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.bulrushtack.core.call.IdempotencyKey
+import org.bulrushtack.core.call.ServiceCall
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.settings.SettingsPath
+import org.bulrushtack.core.settings.SettingsSchema
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.MonotonicClock
+import org.bulrushtack.daemon.taking.CallEdge
+import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpMessageRequest
+
+/** Takes calls of plain services at `/v1/services/{service}/{operation}`. */
+internal class ServiceResource(
+    private val gate: CallerGate,
+    private val control: ControlThread,
+    private val clock: MonotonicClock,
+    private val wallClock: WallClock,
+    private val edge: CallEdge,
+) : Resource {
+    override fun handle(exchange: HttpExchange, requestId: String) {
+        gate.admit(exchange = exchange, requestId = requestId) { workspace ->
+            call(request = exchange.request, requestId = requestId, workspace = workspace).fold(
+                ifLeft = { gate.refuse(exchange = exchange, problem = it, requestId = requestId) },
+                ifRight = { edge.take(call = it, exchange = exchange) },
+            )
+        }
+    }
+
+    private fun call(
+        request: HttpMessageRequest,
+        requestId: String,
+        workspace: String,
+    ): Either<Problem, ServiceCall> {
+        val names = request.path.removePrefix(PATH).split('/')
+        if (names.size != 2 || names.any { !NAME.matches(it) }) return Problem(ErrorKind.UNKNOWN_PATH).left()
+        val header = request.headers.find("idempotency-key")
+        val key = header?.let { IdempotencyKey.parse(it) }
+        return when (key) {
+            is Either.Left -> Problem(key.value).left()
+            else -> call(request = request, requestId = requestId, workspace = workspace, key = key?.getOrNull()).right()
+        }
+    }
+
+    private fun call(
+        request: HttpMessageRequest,
+        requestId: String,
+        workspace: String,
+        key: IdempotencyKey?,
+    ): ServiceCall {
+        val (service, operation) = request.path.removePrefix(PATH).split('/')
+        val nowMillis = clock.nowMillis()
+        return ServiceCall(
+            id = requestId,
+            workspace = workspace,
+            service = service,
+            operation = operation,
+            key = key,
+            keyAgeMillis = key?.let { wallClock.nowMillis() - it.madeAtMillis },
+            fingerprint = Authenticator.hash("$operation\n".toByteArray() + request.body),
+            receivedAtMillis = nowMillis,
+            deadlineAtMillis = nowMillis + deadlineMillis(service),
+        )
+    }
+
+    private fun deadlineMillis(service: String): Long {
+        val path = SettingsPath.ROOT.child(SettingsSchema.SERVICES).child(service)
+        return control.view.tree.number(path, SettingsSchema.DEADLINE_SECONDS) * MILLIS_PER_SECOND
+    }
+
+    companion object {
+        /** Where services stand. */
+        const val PATH: String = "/v1/services/"
+    }
+}
+
+private const val MILLIS_PER_SECOND = 1_000L
+private val NAME = Regex("[a-z0-9][a-z0-9.-]{0,62}")
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
@@ -0,0 +1,151 @@
+package org.bulrushtack.daemon.life
+
+import io.grpc.Server
+import org.bulrushtack.backend.HttpEngineClient
+import org.bulrushtack.backend.HttpServerInspector
+import org.bulrushtack.backend.HttpServiceClient
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.ControlLoop
+import org.bulrushtack.core.membership.MemberIdentity
+import org.bulrushtack.daemon.PartLog
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.LogFollower
+import org.bulrushtack.daemon.control.SystemMonotonicClock
+import org.bulrushtack.daemon.control.VmPoller
+import org.bulrushtack.daemon.operator.TreeEditor
+import org.bulrushtack.daemon.owner.WorkRunner
+import org.bulrushtack.daemon.peer.PeerConnections
+import org.bulrushtack.daemon.peer.PeerLink
+import org.bulrushtack.daemon.peer.PeerService
+import org.bulrushtack.daemon.peer.RemoteOwner
+import org.bulrushtack.daemon.settings.ProcessSettings
+import org.bulrushtack.daemon.taking.CallEdge
+import org.bulrushtack.daemon.taking.CompletionEdge
+import org.bulrushtack.http.EventLoops
+import org.bulrushtack.http.HttpClient
+import org.bulrushtack.http.HttpLimits
+import org.bulrushtack.http.HttpServer
+import org.bulrushtack.platform.HttpPlatformLog
+import org.bulrushtack.platform.HttpVmDirectory
+import java.util.concurrent.Executors
+import kotlin.random.Random
+
+/** One entry daemon, wired together. */
+class Daemon(
+    private val settings: ProcessSettings,
+    identity: MemberIdentity,
+    seed: Long,
+) {
+    private val log = PartLog(part = "daemon")
+    private val clock = SystemMonotonicClock()
+    private val group = EventLoops.create(settings.networkThreads)
+    private val timer = Executors.newScheduledThreadPool(1) { task -> Thread(task, "timer").also { it.isDaemon = true } }
+    private val client = HttpClient(group)
+    private val blackboard = Blackboard(identity = identity)
+    private val control = ControlThread(
+        blackboard = blackboard,
+        loop = ControlLoop(blackboard = blackboard, random = Random(seed)),
+        clock = clock,
+    )
+    private val metrics = DaemonMetrics()
+    private val connections = PeerConnections(group)
+    private val platformLog = HttpPlatformLog(client = client, address = settings.platformAddress)
+    private val runner = WorkRunner(
+        identity = identity,
+        control = control,
+        clock = clock,
+        engines = HttpEngineClient(client),
+        services = HttpServiceClient(client),
+        inspector = HttpServerInspector(client),
+    )
+    private val remote = RemoteOwner(connections = connections, timer = timer)
+    private val completions = CompletionEdge(
+        control = control,
+        runner = runner,
+        remote = remote,
+        clock = clock,
+        metrics = metrics,
+    )
+    private val calls = CallEdge(
+        control = control,
+        runner = runner,
+        remote = remote,
+        clock = clock,
+        metrics = metrics,
+    )
+    private val editor = TreeEditor(control = control, clock = clock, timer = timer)
+    private lateinit var httpServer: HttpServer
+    private lateinit var peerServer: Server
+
+    /** The port for callers and operators. */
+    val httpPort: Int get() = httpServer.port
+
+    /** The port for other daemons. */
+    val peerPort: Int get() = peerServer.port
+
+    /** Opens the ports and starts following the log. */
+    fun start() {
+        val executor = ActionExecutor(
+            control = control,
+            platformLog = platformLog,
+            peers = PeerLink(connections = connections, control = control, clock = clock),
+            runner = runner,
+            completions = completions,
+            calls = calls,
+            editor = editor,
+        )
+        control.onAction = executor::execute
+        openPorts()
+        completions.start(timer)
+        control.start()
+        LogFollower(platformLog = platformLog, control = control, clock = clock, timer = timer).start()
+        VmPoller(
+            directory = HttpVmDirectory(client = client, address = settings.platformAddress),
+            control = control,
+            timer = timer,
+        ).start()
+        log.info { "name=${settings.name} http=${settings.httpListen.host}:$httpPort peer=$peerPort has started." }
+    }
+
+    /** Leaves the system: takes no new requests after a while, and ends when those that run have ended. */
+    fun drain() = Drain(
+        control = control,
+        httpServer = httpServer,
+        clock = clock,
+        maximumMillis = settings.drainMillis,
+    ).run()
+
+    /** Stops at once. */
+    fun stop() {
+        peerServer.shutdownNow()
+        connections.close()
+        control.stop()
+        timer.shutdownNow()
+        group.shutdownGracefully()
+        log.info { "name=${settings.name} has stopped." }
+    }
+
+    private fun openPorts() {
+        val routes = RouteTable(
+            settings = settings,
+            control = control,
+            clock = clock,
+            metrics = metrics,
+            completions = completions,
+            calls = calls,
+            editor = editor,
+        )
+        httpServer = HttpServer.start(
+            group = group,
+            host = settings.httpListen.host,
+            port = settings.httpListen.port,
+            limits = HttpLimits(
+                bodyBytes = settings.bodyBytes,
+                headerBytes = settings.headerBytes,
+                requestMillis = settings.requestMillis,
+            ),
+            handler = routes.front(),
+        )
+        peerServer = PeerService(control = control, runner = runner).start(group = group, place = settings.peerListen)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/RouteTable.kt
@@ -0,0 +1,79 @@
+package org.bulrushtack.daemon.life
+
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.MonotonicClock
+import org.bulrushtack.daemon.front.Authenticator
+import org.bulrushtack.daemon.front.CallerGate
+import org.bulrushtack.daemon.front.CompletionResource
+import org.bulrushtack.daemon.front.EntryResource
+import org.bulrushtack.daemon.front.HealthResource
+import org.bulrushtack.daemon.front.HttpFront
+import org.bulrushtack.daemon.front.Route
+import org.bulrushtack.daemon.front.ServiceResource
+import org.bulrushtack.daemon.front.WallClock
+import org.bulrushtack.daemon.operator.StatusResource
+import org.bulrushtack.daemon.operator.TreeEditor
+import org.bulrushtack.daemon.operator.TreeResource
+import org.bulrushtack.daemon.settings.ProcessSettings
+import org.bulrushtack.daemon.taking.CallEdge
+import org.bulrushtack.daemon.taking.CompletionEdge
+import java.security.SecureRandom
+
+/** All paths of the daemon's HTTP interface. */
+internal class RouteTable(
+    settings: ProcessSettings,
+    private val control: ControlThread,
+    private val clock: MonotonicClock,
+    private val metrics: DaemonMetrics,
+    private val completions: CompletionEdge,
+    private val calls: CallEdge,
+    private val editor: TreeEditor,
+) {
+    private val wallClock = WallClock { System.currentTimeMillis() }
+    private val gate = CallerGate(
+        authenticator = Authenticator(settings.bootstrapKeyHash),
+        control = control,
+        metrics = metrics,
+    )
+
+    /** The handler for the daemon's HTTP port. */
+    fun front(): HttpFront = HttpFront(routes = callerRoutes() + operatorRoutes() + healthRoutes(), metrics = metrics)
+
+    private fun callerRoutes(): List<Route> {
+        val entry = EntryResource(control = control, wallClock = wallClock, random = SecureRandom())
+        val completion = CompletionResource(gate = gate, control = control, clock = clock, edge = completions)
+        val service = ServiceResource(
+            gate = gate,
+            control = control,
+            clock = clock,
+            wallClock = wallClock,
+            edge = calls,
+        )
+        return listOf(
+            Route(method = "GET", path = "/v1/entry", resource = entry),
+            Route(method = "POST", path = "/v1/completions", resource = completion),
+            Route(method = "POST", path = ServiceResource.PATH, resource = service),
+        )
+    }
+
+    private fun operatorRoutes(): List<Route> {
+        val tree = TreeResource(gate = gate, control = control, editor = editor)
+        val status = StatusResource(gate = gate, control = control)
+        return listOf(
+            Route(method = "GET", path = "/v1/operator/tree", resource = tree::show),
+            Route(method = "POST", path = "/v1/operator/tree", resource = tree::edit),
+            Route(method = "GET", path = "/v1/operator/export", resource = tree::export),
+            Route(method = "GET", path = "/v1/operator/history", resource = status::history),
+            Route(method = "GET", path = "/v1/operator/status", resource = status::status),
+        )
+    }
+
+    private fun healthRoutes(): List<Route> {
+        val health = HealthResource(control = control, metrics = metrics)
+        return listOf(
+            Route(method = "GET", path = "/healthz", resource = { exchange, _ -> health.live(exchange) }),
+            Route(method = "GET", path = "/readyz", resource = { exchange, _ -> health.ready(exchange) }),
+            Route(method = "GET", path = "/metrics", resource = { exchange, _ -> health.metrics(exchange) }),
+        )
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/operator/TreeEditRequest.kt
@@ -0,0 +1,23 @@
+package org.bulrushtack.daemon.operator
+
+/**
+ * The body of an operator's edit.
+ *
+ * @property dryRun whether to say only what would change
+ */
+internal data class TreeEditRequest(
+    val changes: List<Change> = emptyList(),
+    val dryRun: Boolean = false,
+) {
+    /**
+     * One change; a null [value] removes the setting.
+     *
+     * @property expectedVersion the version that the operator saw, or null for the one that is in force now
+     */
+    data class Change(
+        val path: String,
+        val key: String,
+        val value: String? = null,
+        val expectedVersion: Long? = null,
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/operator/TreeResource.kt
@@ -0,0 +1,169 @@
+package org.bulrushtack.daemon.operator
+
+import arrow.core.Either
+import arrow.core.flatMap
+import com.fasterxml.jackson.module.kotlin.readValue
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.settings.SettingChange
+import org.bulrushtack.core.settings.SettingsPath
+import org.bulrushtack.core.settings.SettingsSchema
+import org.bulrushtack.core.settings.SettingsTree
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.front.CallerGate
+import org.bulrushtack.daemon.front.Json
+import org.bulrushtack.http.HttpExchange
+
+/** Shows and edits the settings tree at `/v1/operator/tree`. */
+internal class TreeResource(
+    private val gate: CallerGate,
+    private val control: ControlThread,
+    private val editor: TreeEditor,
+) {
+    /** Shows one branch: each value, where it comes from, and the branches below. */
+    fun show(exchange: HttpExchange, requestId: String) = gate.admitOperator(exchange, requestId) {
+        SettingsPath.parse(exchange.request.query["path"].orEmpty()).fold(
+            ifLeft = { gate.refuse(exchange, Problem(ErrorKind.EDIT_INVALID, it), requestId) },
+            ifRight = { exchange.respond(Json.response(status = 200, value = branch(it))) },
+        )
+    }
+
+    /** Shows every value that is set, for export. */
+    fun export(exchange: HttpExchange, requestId: String) = gate.admitOperator(exchange, requestId) {
+        val rows = control.view.tree.values
+            .filter { (_, value) -> value.value != null }
+            .map { (address, value) -> ExportRow(address.path.toString(), address.key, value.value, value.version) }
+            .sortedWith(compareBy({ it.path }, { it.key }))
+        exchange.respond(Json.response(status = 200, value = ExportAnswer(values = rows)))
+    }
+
+    /** Makes an edit, or says what it would change. */
+    fun edit(exchange: HttpExchange, requestId: String) = gate.admitOperator(exchange, requestId) { operator ->
+        val tree = control.view.tree
+        val request = Either.catch { Json.mapper.readValue<TreeEditRequest>(exchange.request.body) }
+            .mapLeft { Problem(ErrorKind.MALFORMED_REQUEST, "The body is not an edit: ${it.message}") }
+        val checked = request.flatMap { editor.check(request = it, tree = tree) }
+        checked.fold(
+            ifLeft = { gate.refuse(exchange, it, requestId) },
+            ifRight = { changes ->
+                val dryRun = request.getOrNull()?.dryRun ?: false
+                if (dryRun) preview(exchange, tree, changes) else make(exchange, requestId, operator, tree, changes)
+            },
+        )
+    }
+
+    private fun preview(exchange: HttpExchange, tree: SettingsTree, changes: List<SettingChange>) {
+        val answer = EditAnswer(
+            accepted = false,
+            dryRun = true,
+            changes = rows(tree = tree, changes = changes),
+            conflicts = tree.conflicts(changes).map { it.toString() },
+        )
+        exchange.respond(Json.response(status = 200, value = answer))
+    }
+
+    private fun make(
+        exchange: HttpExchange,
+        requestId: String,
+        operator: String,
+        tree: SettingsTree,
+        changes: List<SettingChange>,
+    ) {
+        editor.edit(operator = operator, changes = changes).thenAccept { outcome ->
+            outcome.fold(
+                ifLeft = { gate.refuse(exchange, it, requestId) },
+                ifRight = { result ->
+                    val answer = EditAnswer(
+                        accepted = true,
+                        dryRun = false,
+                        changes = rows(tree = tree, changes = changes),
+                        offset = result.offset,
+                        behind = result.behind,
+                        inForceMillis = result.waitedMillis,
+                    )
+                    exchange.respond(Json.response(status = 200, value = answer))
+                },
+            )
+        }
+    }
+
+    private fun rows(tree: SettingsTree, changes: List<SettingChange>): List<ChangeRow> = changes.map { change ->
+        val path = change.address.path
+        val key = change.address.key
+        val after = tree.apply(changes = changes, version = 0).resolve(path, key).value
+        ChangeRow(
+            path = path.toString(),
+            key = key,
+            before = shown(key = key, value = tree.resolve(path, key).value),
+            after = shown(key = key, value = after),
+            version = change.expectedVersion,
+        )
+    }
+
+    private fun branch(path: SettingsPath): BranchAnswer {
+        val tree = control.view.tree
+        val top = path.segments.firstOrNull()
+        val settings = SettingsSchema.specifications
+            .filter { top == null || top in it.branches }
+            .map { specification ->
+                val resolved = tree.resolve(path, specification.key)
+                SettingRow(
+                    key = specification.key,
+                    value = shown(key = specification.key, value = resolved.value),
+                    unit = specification.unit,
+                    source = resolved.source?.toString() ?: "default",
+                    version = tree.values.entries
+                        .firstOrNull { it.key.path == path && it.key.key == specification.key }?.value?.version ?: 0,
+                )
+            }
+        return BranchAnswer(path = path.toString(), settings = settings, children = tree.children(path))
+    }
+
+    private fun shown(key: String, value: String): String {
+        val secret = SettingsSchema.find(key)?.secret ?: false
+        return if (secret && value.isNotEmpty()) "(hidden)" else value
+    }
+
+    private data class BranchAnswer(
+        val path: String,
+        val settings: List<SettingRow>,
+        val children: List<String>,
+    )
+
+    private data class SettingRow(
+        val key: String,
+        val value: String,
+        val unit: String,
+        val source: String,
+        val version: Long,
+    )
+
+    private data class ExportAnswer(
+        val values: List<ExportRow>,
+    )
+
+    private data class ExportRow(
+        val path: String,
+        val key: String,
+        val value: String?,
+        val version: Long,
+    )
+
+    private data class EditAnswer(
+        val accepted: Boolean,
+        val dryRun: Boolean,
+        val changes: List<ChangeRow>,
+        val conflicts: List<String> = emptyList(),
+        val offset: Long? = null,
+        val behind: List<String> = emptyList(),
+        val inForceMillis: Long? = null,
+    )
+
+    private data class ChangeRow(
+        val path: String,
+        val key: String,
+        val before: String,
+        val after: String,
+        val version: Long,
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/OwnedCall.kt
@@ -0,0 +1,59 @@
+package org.bulrushtack.daemon.owner
+
+import org.bulrushtack.core.backend.BackendOrder
+import org.bulrushtack.core.backend.ServiceClient
+import org.bulrushtack.core.backend.ServiceRequest
+import org.bulrushtack.core.backend.ServiceResult
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.dispatch.WorkEnding
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.membership.MemberIdentity
+
+/** A service call at the owner. Once it is sent, nobody breaks it off: it may have taken effect. */
+internal class OwnedCall(
+    private val order: CallOrder,
+    private val sink: CallSink,
+    private val identity: MemberIdentity,
+    private val services: ServiceClient,
+    private val onEnding: (WorkEnding) -> Unit,
+) : OwnedWork {
+    override fun start(action: Action.StartWork) {
+        services.call(address = action.address, request = request(action)).thenAccept { result ->
+            when (result) {
+                is ServiceResult.Answered -> {
+                    sink.answered(result.answer)
+                    onEnding(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = result.incarnation))
+                }
+                is ServiceResult.NotSent -> {
+                    sink.failed(Problem(kind = ErrorKind.NOT_DISPATCHED, detail = result.detail))
+                    onEnding(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
+                }
+                is ServiceResult.Lost -> {
+                    sink.failed(Problem(kind = ErrorKind.BACKEND_LOST, detail = result.detail))
+                    onEnding(WorkEnding(kind = WorkEnding.Kind.LOST))
+                }
+            }
+        }
+    }
+
+    override fun refuse(problem: Problem) = sink.failed(problem)
+
+    override fun withdraw() = Unit
+
+    private fun request(action: Action.StartWork): ServiceRequest = ServiceRequest(
+        order = BackendOrder(
+            serverRequestId = order.id.serverRequestId,
+            owner = identity.name,
+            ownerIncarnation = identity.incarnation,
+            fence = action.fence,
+        ),
+        workspace = order.workspace,
+        service = order.service,
+        operation = order.operation,
+        contentType = order.contentType,
+        body = order.body,
+        idempotencyKey = order.idempotencyKey,
+        timeoutMillis = order.timeoutMillis,
+    )
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/WorkRunner.kt
@@ -0,0 +1,140 @@
+package org.bulrushtack.daemon.owner
+
+import org.bulrushtack.core.backend.BackendOrder
+import org.bulrushtack.core.backend.EngineClient
+import org.bulrushtack.core.backend.ServerInspector
+import org.bulrushtack.core.backend.ServiceClient
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.dispatch.Work
+import org.bulrushtack.core.dispatch.WorkEnding
+import org.bulrushtack.core.dispatch.WorkId
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.membership.MemberIdentity
+import org.bulrushtack.core.server.BackendServer
+import org.bulrushtack.core.server.ServerSettings
+import org.bulrushtack.daemon.PartLog
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.MonotonicClock
+import java.util.concurrent.ConcurrentHashMap
+
+/** The owner's edge: takes work for owned backend servers, sends it, and reads what the servers say. */
+class WorkRunner(
+    private val identity: MemberIdentity,
+    private val control: ControlThread,
+    private val clock: MonotonicClock,
+    private val engines: EngineClient,
+    private val services: ServiceClient,
+    private val inspector: ServerInspector,
+) {
+    private val log = PartLog(part = "owner")
+    private val works = ConcurrentHashMap<WorkId, OwnedWork>()
+
+    /** Takes an attempt of a completion; [sink] hears how it goes. */
+    fun submit(order: AttemptOrder, sink: FrameSink) {
+        val settings = ServerSettings.read(control.view.tree, BackendServer.path(order.server))
+        val answerTokens = order.maximumTokens - order.resumeFrom
+        val work = Work(
+            id = order.id,
+            server = order.server,
+            workspace = order.workspace,
+            reservedTokens = order.promptTokens + order.maximumTokens,
+            expectedMillis = settings.expectedMillis(promptTokens = order.promptTokens, answerTokens = answerTokens),
+            receivedAtMillis = clock.nowMillis(),
+            deadlineAtMillis = clock.nowMillis() + order.timeoutMillis,
+        )
+        val attempt = OwnedAttempt(
+            order = order,
+            sink = sink,
+            identity = identity,
+            engines = engines,
+            onEnding = { ended(id = order.id, ending = it) },
+        )
+        take(work = work, owned = attempt)
+    }
+
+    /** Takes a service call; [sink] hears its outcome. */
+    fun submit(order: CallOrder, sink: CallSink) {
+        val work = Work(
+            id = order.id,
+            server = order.server,
+            workspace = order.workspace,
+            reservedTokens = 0,
+            expectedMillis = CALL_MILLIS,
+            receivedAtMillis = clock.nowMillis(),
+            deadlineAtMillis = clock.nowMillis() + order.timeoutMillis,
+        )
+        val call = OwnedCall(
+            order = order,
+            sink = sink,
+            identity = identity,
+            services = services,
+            onEnding = { ended(id = order.id, ending = it) },
+        )
+        take(work = work, owned = call)
+    }
+
+    /** Breaks work off, since its requester went away. */
+    fun withdraw(id: WorkId) {
+        works[id]?.withdraw()
+        control.post(Event.WorkWithdrawn(id))
+    }
+
+    /** Carries out a decision to dispatch. */
+    fun start(action: Action.StartWork) {
+        val work = works[action.work.id]
+        if (work == null) {
+            ended(id = action.work.id, ending = WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
+            return
+        }
+        log.debug { "request=${action.work.id.serverRequestId} goes to ${action.work.server} fence=${action.fence}." }
+        work.start(action)
+    }
+
+    /** Carries out a refusal. */
+    fun refuse(action: Action.RefuseWork) {
+        log.debug { "request=${action.id.serverRequestId} is refused: ${action.problem.kind.code}." }
+        works.remove(action.id)?.refuse(action.problem)
+    }
+
+    /** Reads a backend server's list and load report. */
+    fun poll(action: Action.PollServer) {
+        val askedAtMillis = clock.nowMillis()
+        inspector.list(action.address).thenAccept { answer ->
+            answer.onRight {
+                control.post(Event.ServerListed(server = action.server, list = it, askedAtMillis = askedAtMillis))
+            }
+        }
+        inspector.report(action.address).thenAccept { answer ->
+            answer.onRight { control.post(Event.ServerReported(server = action.server, report = it)) }
+        }
+    }
+
+    /** Asks a backend server to cancel a request. */
+    fun cancel(action: Action.CancelOnServer) {
+        log.debug { "request=${action.serverRequestId} is cancelled on ${action.server}." }
+        val order = BackendOrder(
+            serverRequestId = action.serverRequestId,
+            owner = identity.name,
+            ownerIncarnation = identity.incarnation,
+            fence = action.fence,
+        )
+        inspector.cancel(address = action.address, order = order)
+    }
+
+    private fun take(work: Work, owned: OwnedWork) {
+        if (works.putIfAbsent(work.id, owned) != null) {
+            owned.refuse(Problem(kind = ErrorKind.INTERNAL, detail = "The attempt was submitted twice."))
+            return
+        }
+        control.post(Event.WorkSubmitted(work))
+    }
+
+    private fun ended(id: WorkId, ending: WorkEnding) {
+        works.remove(id)
+        control.post(Event.WorkEnded(id = id, ending = ending))
+    }
+}
+
+private const val CALL_MILLIS = 50L
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerConnections.kt
@@ -0,0 +1,83 @@
+package org.bulrushtack.daemon.peer
+
+import io.grpc.CallOptions
+import io.grpc.ClientCall
+import io.grpc.ManagedChannel
+import io.grpc.MethodDescriptor
+import io.grpc.netty.NettyChannelBuilder
+import io.grpc.stub.ClientCalls
+import io.grpc.stub.StreamObserver
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
+import java.net.InetSocketAddress
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+
+/** Connections to other daemons, one for each address. Nothing is retried below the controllers. */
+class PeerConnections(
+    private val group: EventLoopGroup,
+) {
+    private val channels = ConcurrentHashMap<String, ManagedChannel>()
+
+    /** A call to the daemon at [address] that ends by itself after [timeoutMillis]. */
+    fun <Q, R> newCall(address: String, method: MethodDescriptor<Q, R>, timeoutMillis: Long): ClientCall<Q, R> =
+        channel(address).newCall(method, CallOptions.DEFAULT.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS))
+
+    /** One request and its answer; the future fails with gRPC's own exception. */
+    fun <Q, R> unary(
+        address: String,
+        method: MethodDescriptor<Q, R>,
+        request: Q,
+        timeoutMillis: Long,
+    ): CompletableFuture<R> {
+        val result = CompletableFuture<R>()
+        val call = newCall(address = address, method = method, timeoutMillis = timeoutMillis)
+        ClientCalls.asyncUnaryCall(call, request, FutureObserver(result))
+        return result
+    }
+
+    /** The connection to the daemon at [address]. */
+    fun channel(address: String): ManagedChannel = channels.computeIfAbsent(address) { open(it) }
+
+    /** Closes all connections. */
+    fun close() {
+        channels.values.forEach { it.shutdownNow() }
+    }
+
+    private fun open(address: String): ManagedChannel = NettyChannelBuilder.forAddress(socketAddress(address))
+        .eventLoopGroup(group)
+        .channelType(NioSocketChannel::class.java)
+        .directExecutor()
+        .disableRetry()
+        .usePlaintext()
+        .maxInboundMessageSize(MAXIMUM_MESSAGE_BYTES)
+        .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+        .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .build()
+
+    private fun socketAddress(address: String): InetSocketAddress =
+        InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+
+    private class FutureObserver<R>(
+        private val result: CompletableFuture<R>,
+    ) : StreamObserver<R> {
+        override fun onNext(value: R) {
+            result.complete(value)
+        }
+
+        override fun onError(cause: Throwable) {
+            result.completeExceptionally(cause)
+        }
+
+        override fun onCompleted() = Unit
+    }
+
+    companion object {
+        /** The largest message between daemons, in bytes: a prompt of a million tokens and some room. */
+        const val MAXIMUM_MESSAGE_BYTES: Int = 80 * 1024 * 1024
+    }
+}
+
+private const val KEEP_ALIVE_SECONDS = 10L
+private const val KEEP_ALIVE_TIMEOUT_SECONDS = 3L
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerService.kt
@@ -0,0 +1,121 @@
+package org.bulrushtack.daemon.peer
+
+import io.grpc.Server
+import io.grpc.ServerServiceDefinition
+import io.grpc.netty.NettyServerBuilder
+import io.grpc.stub.ServerCallStreamObserver
+import io.grpc.stub.ServerCalls
+import io.grpc.stub.StreamObserver
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.dispatch.WorkId
+import org.bulrushtack.core.log.LogEntry
+import org.bulrushtack.core.log.Snapshot
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.owner.AttemptOrder
+import org.bulrushtack.daemon.owner.CallOrder
+import org.bulrushtack.daemon.owner.WorkRunner
+import org.bulrushtack.daemon.settings.SocketPlace
+import org.bulrushtack.protocol.CallReply
+import org.bulrushtack.protocol.CallRequest
+import org.bulrushtack.protocol.ExecuteFrame
+import org.bulrushtack.protocol.ExecuteRequest
+import org.bulrushtack.protocol.Heartbeat
+import org.bulrushtack.protocol.PeerMethods
+import org.bulrushtack.protocol.ReadRecordsReply
+import org.bulrushtack.protocol.ReadRecordsRequest
+import java.net.InetSocketAddress
+
+/** What a daemon does for its peers. */
+class PeerService(
+    private val control: ControlThread,
+    private val runner: WorkRunner,
+) {
+    /** Listens at [place]. */
+    fun start(group: EventLoopGroup, place: SocketPlace): Server =
+        NettyServerBuilder.forAddress(InetSocketAddress(place.host, place.port))
+            .bossEventLoopGroup(group)
+            .workerEventLoopGroup(group)
+            .channelType(NioServerSocketChannel::class.java)
+            .directExecutor()
+            .maxInboundMessageSize(PeerConnections.MAXIMUM_MESSAGE_BYTES)
+            .addService(definition())
+            .build()
+            .start()
+
+    private fun definition(): ServerServiceDefinition = ServerServiceDefinition.builder(PeerMethods.SERVICE_NAME)
+        .addMethod(PeerMethods.EXCHANGE, ServerCalls.asyncUnaryCall(::exchange))
+        .addMethod(PeerMethods.READ_RECORDS, ServerCalls.asyncUnaryCall(::readRecords))
+        .addMethod(PeerMethods.EXECUTE, ServerCalls.asyncServerStreamingCall(::execute))
+        .addMethod(PeerMethods.CALL, ServerCalls.asyncUnaryCall(::call))
+        .build()
+
+    private fun exchange(request: Heartbeat, observer: StreamObserver<Heartbeat>) {
+        val message = PeerMessages.fromWire(request)
+        control.post(Event.HeartbeatReceived(message = message, answersAskedAtMillis = null))
+        control.query { blackboard, nowMillis -> PeerMessages.toWire(blackboard.heartbeat(nowMillis)) }
+            .thenAccept { answer(observer = observer, value = it) }
+    }
+
+    private fun readRecords(request: ReadRecordsRequest, observer: StreamObserver<ReadRecordsReply>) {
+        control.query { blackboard, _ -> entries(blackboard = blackboard, request = request) }.thenAccept { entries ->
+            val reply = ReadRecordsReply.newBuilder().addAllEntries(entries.map { PeerMessages.toWire(it) }).build()
+            answer(observer = observer, value = reply)
+        }
+    }
+
+    /** The wanted entries, or the whole state where some of them are no longer held here. */
+    private fun entries(blackboard: Blackboard, request: ReadRecordsRequest): List<LogEntry> {
+        val log = blackboard.log
+        val wanted = log.recent.filter { it.offset >= request.fromOffset }.take(request.limit)
+        val folder = log.folder
+        if (folder.appliedOffset < request.fromOffset || wanted.firstOrNull()?.offset == request.fromOffset) return wanted
+        val snapshot = Snapshot(
+            id = "state/${blackboard.identity.name}/${folder.appliedOffset}",
+            throughOffset = folder.appliedOffset,
+            state = folder.state(),
+        )
+        return listOf(LogEntry(offset = folder.appliedOffset, appendedAtMillis = 0, record = snapshot))
+    }
+
+    private fun execute(request: ExecuteRequest, observer: StreamObserver<ExecuteFrame>) {
+        val id = WorkId(requestId = request.requestId, attempt = request.attempt)
+        val serverObserver = observer as ServerCallStreamObserver<ExecuteFrame>
+        val sink = GrpcFrameSink(id = id, observer = serverObserver)
+        serverObserver.setOnCancelHandler { runner.withdraw(id) }
+        val order = AttemptOrder(
+            id = id,
+            server = request.server,
+            workspace = request.workspace,
+            model = request.model,
+            prompt = request.prompt.toByteArray(),
+            promptTokens = request.promptTokens,
+            maximumTokens = request.maxTokens,
+            resumeFrom = request.resumeFrom,
+            timeoutMillis = request.deadlineMillis,
+        )
+        runner.submit(order = order, sink = sink)
+    }
+
+    private fun call(request: CallRequest, observer: StreamObserver<CallReply>) {
+        val order = CallOrder(
+            id = WorkId(requestId = request.requestId, attempt = request.attempt),
+            server = request.server,
+            workspace = request.workspace,
+            service = request.service,
+            operation = request.operation,
+            contentType = request.contentType,
+            body = request.body.toByteArray(),
+            idempotencyKey = request.idempotencyKey.ifEmpty { null },
+            timeoutMillis = request.deadlineMillis,
+        )
+        runner.submit(order = order, sink = GrpcCallSink(observer = observer))
+    }
+
+    private fun <T> answer(observer: StreamObserver<T>, value: T) {
+        observer.onNext(value)
+        observer.onCompleted()
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettings.kt
@@ -0,0 +1,25 @@
+package org.bulrushtack.daemon.settings
+
+/**
+ * The settings of one daemon process.
+ *
+ * @property name the VM's name in the platform's list
+ * @property httpListen host and port for callers and operators
+ * @property peerListen host and port for other daemons
+ * @property platformAddress host and port of the platform's service
+ * @property bootstrapKeyHash hash of the operator key that counts while the tree names no operator, or empty
+ */
+data class ProcessSettings(
+    val name: String,
+    val dataCentre: String,
+    val httpListen: SocketPlace,
+    val peerListen: SocketPlace,
+    val platformAddress: String,
+    val bootstrapKeyHash: String,
+    val logLevel: String,
+    val bodyBytes: Int,
+    val headerBytes: Int,
+    val requestMillis: Long,
+    val drainMillis: Long,
+    val networkThreads: Int,
+)
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CallEdge.kt
@@ -0,0 +1,112 @@
+package org.bulrushtack.daemon.taking
+
+import org.bulrushtack.core.call.ServiceCall
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.dispatch.WorkId
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.log.CallAnswer
+import org.bulrushtack.daemon.PartLog
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.MonotonicClock
+import org.bulrushtack.daemon.front.ProblemWriter
+import org.bulrushtack.daemon.life.DaemonMetrics
+import org.bulrushtack.daemon.owner.CallOrder
+import org.bulrushtack.daemon.owner.CallSink
+import org.bulrushtack.daemon.owner.WorkRunner
+import org.bulrushtack.daemon.peer.RemoteOwner
+import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.HttpMessageResponse
+import java.util.Base64
+import java.util.concurrent.ConcurrentHashMap
+
+/** The taking edge of service calls. */
+internal class CallEdge(
+    private val control: ControlThread,
+    private val runner: WorkRunner,
+    private val remote: RemoteOwner,
+    private val clock: MonotonicClock,
+    private val metrics: DaemonMetrics,
+) {
+    private val log = PartLog(part = "call")
+    private val calls = ConcurrentHashMap<String, TakenCall>()
+
+    /** Takes a call. */
+    fun take(call: ServiceCall, exchange: HttpExchange) {
+        calls[call.id] = TakenCall(call = call, exchange = exchange)
+        control.post(Event.CallRequested(call))
+    }
+
+    /** Sends a call to the owner of its backend server. */
+    fun send(action: Action.SendCall) {
+        val taken = calls[action.requestId] ?: return
+        val call = taken.call
+        val order = CallOrder(
+            id = WorkId(requestId = call.id, attempt = action.attempt),
+            server = action.server,
+            workspace = call.workspace,
+            service = call.service,
+            operation = call.operation,
+            contentType = taken.exchange.request.headers.find("content-type") ?: "application/json",
+            body = taken.exchange.request.body,
+            idempotencyKey = call.key?.text,
+            timeoutMillis = maxOf(1, call.deadlineAtMillis - clock.nowMillis()),
+        )
+        val sink = ControlSink(requestId = call.id)
+        if (action.ownerAddress.isEmpty()) {
+            runner.submit(order = order, sink = sink)
+        } else {
+            remote.call(address = action.ownerAddress, order = order, sink = sink)
+        }
+    }
+
+    /** Answers a call. */
+    fun answer(action: Action.AnswerCall) {
+        val taken = calls.remove(action.requestId) ?: return
+        val headers = HttpHeaderList().with(name = "idempotency-replayed", value = action.replayed.toString())
+        metrics.callAnswered(replayed = action.replayed)
+        ended(call = taken.call, outcome = if (action.replayed) "replayed" else "answered")
+        taken.exchange.respond(
+            HttpMessageResponse(
+                status = action.answer.status,
+                contentType = action.answer.contentType,
+                body = Base64.getDecoder().decode(action.answer.body),
+                headers = headers,
+            ),
+        )
+    }
+
+    /** Ends a call with a problem. */
+    fun fail(action: Action.FailCall) {
+        val taken = calls.remove(action.requestId) ?: return
+        metrics.refused(action.problem.kind)
+        ended(call = taken.call, outcome = action.problem.kind.code)
+        taken.exchange.respond(ProblemWriter.response(problem = action.problem, requestId = action.requestId))
+    }
+
+    private fun ended(call: ServiceCall, outcome: String) {
+        val millis = clock.nowMillis() - call.receivedAtMillis
+        log.info {
+            "request=${call.id} workspace=${call.workspace} service=${call.service} operation=${call.operation} " +
+                "millis=$millis outcome=$outcome."
+        }
+    }
+
+    private data class TakenCall(
+        val call: ServiceCall,
+        val exchange: HttpExchange,
+    )
+
+    private inner class ControlSink(
+        private val requestId: String,
+    ) : CallSink {
+        override fun answered(answer: CallAnswer) =
+            control.post(Event.CallAnswered(requestId = requestId, answer = answer))
+
+        override fun failed(problem: Problem) {
+            log.debug { "request=$requestId failed: ${problem.kind.code}. ${problem.detail}" }
+            control.post(Event.CallAttemptFailed(requestId = requestId, problem = problem))
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionEdge.kt
@@ -0,0 +1,122 @@
+package org.bulrushtack.daemon.taking
+
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.dispatch.WorkId
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.daemon.PartLog
+import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.daemon.control.MonotonicClock
+import org.bulrushtack.daemon.life.DaemonMetrics
+import org.bulrushtack.daemon.owner.AttemptOrder
+import org.bulrushtack.daemon.owner.WorkRunner
+import org.bulrushtack.daemon.peer.RemoteOwner
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+
+/** The taking edge of completions: holds their sessions and carries out what the controllers decide. */
+internal class CompletionEdge(
+    private val control: ControlThread,
+    private val runner: WorkRunner,
+    private val remote: RemoteOwner,
+    private val clock: MonotonicClock,
+    private val metrics: DaemonMetrics,
+) : SessionObserver {
+    private val log = PartLog(part = "request")
+    private val sessions = ConcurrentHashMap<String, CompletionSession>()
+
+    /** Starts looking for silent engines. */
+    fun start(timer: ScheduledExecutorService) {
+        timer.scheduleWithFixedDelay({ checkStalls() }, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    /** Takes a completion. */
+    fun take(session: CompletionSession) {
+        sessions[session.request.id] = session
+        control.post(Event.CompletionRequested(request = session.request))
+    }
+
+    /** Sends an attempt to the owner of its backend server. */
+    fun sendAttempt(action: Action.SendAttempt) {
+        val session = sessions[action.requestId] ?: return
+        val sink = session.begin(action.attempt)
+        val order = AttemptOrder(
+            id = WorkId(requestId = action.requestId, attempt = action.attempt),
+            server = action.server,
+            workspace = session.request.workspace,
+            model = session.request.model,
+            prompt = session.prompt,
+            promptTokens = session.request.promptTokens,
+            maximumTokens = session.request.maximumTokens,
+            resumeFrom = session.tokensReceived,
+            timeoutMillis = maxOf(1, session.request.deadlineAtMillis - clock.nowMillis()),
+        )
+        if (action.ownerAddress.isEmpty()) {
+            session.onBreakOff(action.attempt) { runner.withdraw(order.id) }
+            runner.submit(order = order, sink = sink)
+        } else {
+            val breakOff = remote.execute(address = action.ownerAddress, order = order, sink = sink)
+            session.onBreakOff(action.attempt, breakOff)
+        }
+    }
+
+    /** Ends a completion with a problem. */
+    fun fail(action: Action.FailRequest) {
+        sessions.remove(action.requestId)?.fail(action.problem)
+    }
+
+    override fun firstToken(session: CompletionSession) =
+        metrics.firstToken(
+            promptTokens = session.request.promptTokens,
+            millis = clock.nowMillis() - session.request.receivedAtMillis,
+        )
+
+    override fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem) {
+        log.info { "request=${session.request.id} attempt=$attempt failed: ${problem.kind.code}. ${problem.detail}" }
+        metrics.attemptFailed(problem.kind)
+        control.post(
+            Event.AttemptFailed(
+                requestId = session.request.id,
+                attempt = attempt,
+                problem = problem,
+                tokensReceived = session.tokensReceived,
+            ),
+        )
+    }
+
+    override fun finished(session: CompletionSession) {
+        metrics.completionAnswered(tokens = session.tokensReceived)
+        ended(session = session, outcome = "answered")
+    }
+
+    override fun failed(session: CompletionSession, problem: Problem) {
+        metrics.refused(problem.kind)
+        ended(session = session, outcome = problem.kind.code)
+    }
+
+    override fun abandoned(session: CompletionSession) {
+        metrics.completionAbandoned()
+        ended(session = session, outcome = "abandoned")
+    }
+
+    private fun ended(session: CompletionSession, outcome: String) {
+        val request = session.request
+        sessions.remove(request.id)
+        val millis = clock.nowMillis() - request.receivedAtMillis
+        log.info {
+            "request=${request.id} workspace=${request.workspace} prompt=${request.promptTokens} " +
+                "tokens=${session.tokensReceived} millis=$millis outcome=$outcome."
+        }
+        control.post(Event.RequestEnded(request.id))
+    }
+
+    private fun checkStalls() = sessions.values.forEach { session ->
+        val prefillMillis = session.request.promptTokens / SLOWEST_PREFILL_TOKENS_PER_MILLI
+        session.checkStall(firstTokenLimitMillis = FIRST_TOKEN_LIMIT_MILLIS + prefillMillis)
+    }
+}
+
+private const val CHECK_MILLIS = 250L
+private const val FIRST_TOKEN_LIMIT_MILLIS = 10_000L
+private const val SLOWEST_PREFILL_TOKENS_PER_MILLI = 5L
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/WholeCompletionWriter.kt
@@ -0,0 +1,33 @@
+package org.bulrushtack.daemon.taking
+
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.daemon.front.Json
+import org.bulrushtack.daemon.front.ProblemWriter
+import org.bulrushtack.http.HttpExchange
+
+/** Collects an answer and gives it in one response. */
+internal class WholeCompletionWriter(
+    private val exchange: HttpExchange,
+    private val requestId: String,
+    private val message: CompletionMessage,
+) : CompletionWriter {
+    private val text = StringBuilder()
+
+    override val isReady: Boolean get() = true
+
+    override fun onReady(listener: () -> Unit) = Unit
+
+    override fun chunk(offset: Long, tokens: Long, text: String) {
+        this.text.append(text)
+    }
+
+    override fun finish(totalTokens: Long, reason: String) {
+        val whole = message.choice(text = text.toString(), reason = reason)
+        exchange.respond(Json.response(STATUS_OK, message.withUsage(message = whole, answerTokens = totalTokens)))
+    }
+
+    override fun fail(problem: Problem) =
+        exchange.respond(ProblemWriter.response(problem = problem, requestId = requestId))
+}
+
+private const val STATUS_OK = 200
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientRequest.kt
@@ -0,0 +1,19 @@
+package org.bulrushtack.http
+
+/**
+ * A request to be sent.
+ *
+ * @property address host and port
+ * @property fresh whether to open a connection of its own, so that a failure to connect proves that nothing was sent
+ * @property timeoutMillis the longest time to the end of the answer, or null for none
+ */
+public class ClientRequest(
+    public val method: String,
+    public val address: String,
+    public val path: String,
+    public val headers: HttpHeaderList = HttpHeaderList(),
+    public val body: ByteArray = ByteArray(0),
+    public val contentType: String = "application/json",
+    public val fresh: Boolean = false,
+    public val timeoutMillis: Long? = null,
+)
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -0,0 +1,106 @@
+package org.bulrushtack.http
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import java.io.ByteArrayOutputStream
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.TimeUnit
+
+/** An HTTP/1.1 client that keeps idle connections for requests that may share them. */
+public class HttpClient(
+    private val group: EventLoopGroup,
+    private val connectTimeoutMillis: Int = DEFAULT_CONNECT_MILLIS,
+) {
+    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
+
+    /** Sends [request]; [listener] hears of the answer. */
+    public fun send(request: ClientRequest, listener: ResponseListener): ClientCall {
+        val call = ClientExchange(request = request, listener = listener, onIdle = ::keep)
+        val kept = if (request.fresh) null else takeIdle(request.address)
+        if (kept == null) {
+            connect(request.address).addListener { future ->
+                val channel = (future as ChannelFuture).channel()
+                if (future.isSuccess) call.start(channel) else call.failUnsent(future.cause().toString())
+            }
+        } else {
+            kept.eventLoop().execute { call.start(kept) }
+        }
+        request.timeoutMillis?.let { millis ->
+            group.next().schedule({ call.timeOut() }, millis, TimeUnit.MILLISECONDS)
+        }
+        return call
+    }
+
+    /** Sends [request] and collects the whole answer. */
+    public fun exchange(request: ClientRequest): CompletableFuture<Either<HttpFailure, HttpMessageResponse>> {
+        val collector = Collector()
+        send(request = request, listener = collector)
+        return collector.result
+    }
+
+    private fun connect(address: String): ChannelFuture {
+        val host = address.substringBeforeLast(':')
+        val port = address.substringAfterLast(':').toIntOrNull() ?: 0
+        return Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+            .handler(object : ChannelInitializer<Channel>() {
+                override fun initChannel(channel: Channel) {
+                    channel.pipeline().addLast(HttpClientCodec())
+                }
+            })
+            .connect(host, port)
+    }
+
+    private fun takeIdle(address: String): Channel? =
+        generateSequence { idle[address]?.pollFirst() }.firstOrNull { it.isActive }
+
+    private fun keep(address: String, channel: Channel) {
+        val kept = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        if (kept.size < IDLE_PER_ADDRESS) kept.addFirst(channel) else channel.close()
+    }
+
+    private class Collector : ResponseListener {
+        val result = CompletableFuture<Either<HttpFailure, HttpMessageResponse>>()
+        private val body = ByteArrayOutputStream()
+        private var status = 0
+        private var headers = HttpHeaderList()
+
+        override fun onHead(status: Int, headers: HttpHeaderList) {
+            this.status = status
+            this.headers = headers
+        }
+
+        override fun onData(bytes: ByteArray) = body.writeBytes(bytes)
+
+        override fun onEnd() {
+            val response = HttpMessageResponse(
+                status = status,
+                contentType = headers.find("content-type").orEmpty(),
+                body = body.toByteArray(),
+                headers = headers,
+            )
+            result.complete(response.right())
+        }
+
+        override fun onFailure(failure: HttpFailure) {
+            result.complete(failure.left())
+        }
+    }
+}
+
+private const val DEFAULT_CONNECT_MILLIS = 1_000
+private const val IDLE_PER_ADDRESS = 16
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpMessageResponse.kt
@@ -0,0 +1,12 @@
+package org.bulrushtack.http
+
+/** A whole response. */
+public class HttpMessageResponse(
+    public val status: Int,
+    public val contentType: String = "application/json",
+    public val body: ByteArray = ByteArray(0),
+    public val headers: HttpHeaderList = HttpHeaderList(),
+) {
+    /** The body as text in UTF-8. */
+    public fun text(): String = body.decodeToString()
+}
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -0,0 +1,63 @@
+package org.bulrushtack.http
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import java.net.InetSocketAddress
+
+/** A listening HTTP/1.1 server. */
+public class HttpServer private constructor(
+    private val channel: Channel,
+) {
+    /** The port that it listens on. */
+    public val port: Int get() = (channel.localAddress() as InetSocketAddress).port
+
+    /** Stops accepting connections; those that are open go on. */
+    public fun stopAccepting() {
+        channel.close().awaitUninterruptibly()
+    }
+
+    public companion object {
+        /** Listens on [host] and [port] (0 for any free one). */
+        public fun start(
+            group: EventLoopGroup,
+            host: String,
+            port: Int,
+            limits: HttpLimits,
+            handler: HttpHandler,
+        ): HttpServer {
+            val bootstrap = ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_BYTES, HIGH_BYTES))
+                .childHandler(ConnectionInitializer(limits = limits, handler = handler))
+            return HttpServer(channel = bootstrap.bind(host, port).syncUninterruptibly().channel())
+        }
+    }
+
+    private class ConnectionInitializer(
+        private val limits: HttpLimits,
+        private val handler: HttpHandler,
+    ) : ChannelInitializer<Channel>() {
+        override fun initChannel(channel: Channel) {
+            val decoder = HttpDecoderConfig()
+                .setMaxInitialLineLength(limits.headerBytes)
+                .setMaxHeaderSize(limits.headerBytes)
+            channel.pipeline()
+                .addLast(HttpServerCodec(decoder))
+                .addLast(ServerConnection(limits = limits, handler = handler))
+        }
+    }
+}
+
+private const val BACKLOG = 1_024
+private const val LOW_BYTES = 32 * 1024
+private const val HIGH_BYTES = 64 * 1024
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -0,0 +1,89 @@
+package org.bulrushtack.http
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
+
+/** An exchange of a Netty connection; [onEnd] runs on the connection's thread after a whole answer. */
+internal class ServerExchange(
+    override val request: HttpMessageRequest,
+    private val channel: Channel,
+    private val keepAlive: Boolean,
+    private val onEnd: () -> Unit,
+) : HttpExchange, ResponseStream {
+    private val closedListeners = CopyOnWriteArrayList<() -> Unit>()
+    private val writableListeners = CopyOnWriteArrayList<() -> Unit>()
+    private val answered = AtomicBoolean(false)
+
+    override val isWritable: Boolean get() = channel.isWritable
+    override val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+
+    override fun respond(response: HttpMessageResponse) {
+        if (!answered.compareAndSet(false, true)) return
+        val message = DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(response.status),
+            Unpooled.wrappedBuffer(response.body),
+        )
+        fillHeaders(response = message, contentType = response.contentType, headers = response.headers)
+        HttpUtil.setContentLength(message, response.body.size.toLong())
+        HttpUtil.setKeepAlive(message, keepAlive)
+        finish(message)
+    }
+
+    override fun stream(status: Int, contentType: String, headers: HttpHeaderList): ResponseStream {
+        answered.set(true)
+        val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        fillHeaders(response = message, contentType = contentType, headers = headers)
+        HttpUtil.setTransferEncodingChunked(message, true)
+        HttpUtil.setKeepAlive(message, keepAlive)
+        channel.writeAndFlush(message)
+        return this
+    }
+
+    override fun onClosed(listener: () -> Unit) {
+        closedListeners.add(listener)
+    }
+
+    override fun onWritable(listener: () -> Unit) {
+        writableListeners.add(listener)
+    }
+
+    override fun write(bytes: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+    }
+
+    override fun end() = finish(DefaultLastHttpContent())
+
+    override fun abort() {
+        channel.close()
+    }
+
+    fun closed() = closedListeners.forEach { it() }
+
+    fun writable() = writableListeners.forEach { it() }
+
+    private fun finish(message: Any) {
+        val written = channel.writeAndFlush(message)
+        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener { channel.eventLoop().execute(onEnd) }
+    }
+
+    companion object {
+        fun fillHeaders(response: HttpResponse, contentType: String, headers: HttpHeaderList) {
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+            headers.entries.forEach { response.headers().add(it.name, it.value) }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/EngineCommand.kt
@@ -0,0 +1,48 @@
+package org.bulrushtack.standin
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.default
+import org.bulrushtack.standin.engine.EngineOptions
+import org.bulrushtack.standin.engine.EngineStandIn
+
+/** Starts a model engine's stand-in. */
+@OptIn(ExperimentalCli::class)
+internal class EngineCommand : StandInCommand(name = "engine", description = "a model engine") {
+    private val defaults = EngineOptions()
+    private val model by option(ArgType.String, description = "the model that it serves").default(defaults.model)
+    private val memory by option(ArgType.Int, fullName = "memory-tokens", description = "its memory")
+        .default(defaults.memoryTokens.toInt())
+    private val coldMillis by option(ArgType.Int, fullName = "cold-millis", description = "length of cold start")
+        .default(defaults.coldMillis.toInt())
+    private val coldConcurrency by option(
+        ArgType.Int,
+        fullName = "cold-concurrency",
+        description = "requests that it bears while cold",
+    ).default(defaults.coldConcurrency)
+    private val prefill by option(ArgType.Int, fullName = "prefill-rate", description = "prompt tokens a second")
+        .default(defaults.prefillTokensPerSecond.toInt())
+    private val decode by option(ArgType.Int, fullName = "decode-rate", description = "tokens a second of an answer")
+        .default(defaults.decodeTokensPerSecond.toInt())
+    private val checksFencing by option(
+        ArgType.Boolean,
+        fullName = "checks-fencing",
+        description = "refuse orders with old fencing numbers",
+    ).default(defaults.checksFencing)
+    private val instant by option(ArgType.Boolean, description = "answer at once").default(defaults.instant)
+
+    override fun execute() {
+        val options = EngineOptions(
+            model = model,
+            memoryTokens = memory.toLong(),
+            coldMillis = coldMillis.toLong(),
+            coldConcurrency = coldConcurrency,
+            prefillTokensPerSecond = prefill.toLong(),
+            decodeTokensPerSecond = decode.toLong(),
+            checksFencing = checksFencing,
+            instant = instant,
+        )
+        val standIn = EngineStandIn(options).start(listen())
+        announce(standIn = standIn, kind = "engine", serves = model)
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/StandInCommand.kt
@@ -0,0 +1,56 @@
+package org.bulrushtack.standin
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.bulrushtack.http.ClientRequest
+import org.bulrushtack.http.EventLoops
+import org.bulrushtack.http.HttpClient
+
+/** What the stand-ins' command lines share: the ports, and the row in the platform's VM list. */
+@OptIn(ExperimentalCli::class)
+internal abstract class StandInCommand(
+    name: String,
+    description: String,
+) : Subcommand(name, description) {
+    private val host by option(ArgType.String, description = "IP number to listen on").default("127.0.0.1")
+    private val port by option(ArgType.Int, description = "port of the service").default(0)
+    private val controlPort by option(ArgType.Int, fullName = "control-port", description = "port for faults").default(0)
+    private val vmName by option(ArgType.String, fullName = "name", description = "name in the VM list")
+    private val dataCentre by option(ArgType.String, fullName = "data-centre", description = "data centre").default("a")
+    private val platformControl by option(
+        ArgType.String,
+        fullName = "register",
+        description = "the platform's control address, to put this server into the VM list",
+    )
+
+    /** Where to listen. */
+    protected fun listen(): ListenOptions = ListenOptions(host = host, port = port, controlPort = controlPort)
+
+    /** Says on which ports it listens, and puts the server into the VM list where that is asked for. */
+    protected fun announce(standIn: StandIn, kind: String, serves: String) {
+        platformControl?.let { register(address = it, standIn = standIn, kind = kind, serves = serves) }
+        println("ready port=${standIn.port} control=${standIn.controlPort}")
+    }
+
+    private fun register(address: String, standIn: StandIn, kind: String, serves: String) {
+        val row = StandInServer.mapper.createObjectNode()
+            .put("name", vmName ?: "$kind-${standIn.port}")
+            .put("kind", kind)
+            .put("dataCentre", dataCentre)
+            .put("state", "live")
+            .put("http", "$host:${standIn.port}")
+        row.putArray("serves").add(serves)
+        val group = EventLoops.create(1)
+        HttpClient(group).exchange(
+            ClientRequest(
+                method = "POST",
+                address = address,
+                path = "/control/vms",
+                body = StandInServer.mapper.writeValueAsBytes(row),
+            ),
+        ).join()
+        group.shutdownGracefully()
+    }
+}
--- /dev/null
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/StandInServer.kt
@@ -0,0 +1,52 @@
+package org.bulrushtack.standin
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
+import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpFault
+import org.bulrushtack.http.HttpHandler
+import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.HttpMessageResponse
+
+/** Leads requests of a stand-in to functions, by method and path; a path that ends in `/` stands for all below it. */
+class StandInServer : HttpHandler {
+    private val routes = mutableListOf<Route>()
+
+    /** Adds a route. */
+    fun route(method: String, path: String, answer: (HttpExchange) -> Unit) {
+        routes.add(Route(method = method, path = path, answer = answer))
+    }
+
+    override fun handle(exchange: HttpExchange) {
+        val request = exchange.request
+        val route = routes.firstOrNull { it.matches(method = request.method, requested = request.path) }
+        if (route == null) exchange.respond(json(status = NOT_FOUND, value = emptyMap<String, String>())) else route.answer(exchange)
+    }
+
+    override fun answerFault(fault: HttpFault): HttpMessageResponse = HttpMessageResponse(status = BAD_REQUEST)
+
+    private data class Route(
+        val method: String,
+        val path: String,
+        val answer: (HttpExchange) -> Unit,
+    ) {
+        fun matches(method: String, requested: String): Boolean =
+            method == this.method && if (path.endsWith("/")) requested.startsWith(path) else requested == path
+    }
+
+    companion object {
+        /** The mapper for all messages of stand-ins. */
+        val mapper: ObjectMapper = jacksonObjectMapper()
+
+        /** The body of [exchange] as JSON. */
+        fun body(exchange: HttpExchange): JsonNode = mapper.readTree(exchange.request.body)
+
+        /** A response with [value] as its JSON body. */
+        fun json(status: Int, value: Any, headers: HttpHeaderList = HttpHeaderList()): HttpMessageResponse =
+            HttpMessageResponse(status = status, body = mapper.writeValueAsBytes(value), headers = headers)
+    }
+}
+
+private const val NOT_FOUND = 404
+private const val BAD_REQUEST = 400
