Add the command line, the load tool and the demo

Found on the way: the argument parser runs a command while it parses, so the exit code of a command was replaced by that for wrong use. Commands now run after the whole line was found right.

--- /dev/null
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/Main.kt
@@ -0,0 +1,15 @@
+package org.bulrushtack.bench
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import org.bulrushtack.bench.demo.DemoCommand
+import org.bulrushtack.bench.load.LoadCommand
+import org.bulrushtack.program.ProgramLine
+
+/** The program `bench`. */
+@OptIn(ExperimentalCli::class)
+fun main(arguments: Array<String>) {
+    val parser = ArgParser(programName = "bench")
+    parser.subcommands(DemoCommand(), LoadCommand())
+    ProgramLine.run(parser = parser, arguments = arguments, program = BenchClient::class.java)
+}
--- /dev/null
+++ b/command/src/main/kotlin/org/bulrushtack/command/CheckCommand.kt
@@ -0,0 +1,20 @@
+package org.bulrushtack.command
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import org.bulrushtack.program.ProgramCommand
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+/** Checks a file for `tree import` without asking a daemon. */
+@OptIn(ExperimentalCli::class)
+internal class CheckCommand : ProgramCommand(name = "check", description = "check a file for tree import") {
+    private val file by argument(ArgType.String, fullName = "FILE", description = "the file")
+
+    override fun run() {
+        val faults = TreeFile(Path.of(file)).faults()
+        faults.forEach { System.err.println(it) }
+        if (faults.isNotEmpty()) exitProcess(ExitCode.REFUSED)
+        println("$file: no faults")
+    }
+}
--- /dev/null
+++ b/command/src/main/kotlin/org/bulrushtack/command/DataCentreShowCommand.kt
@@ -0,0 +1,28 @@
+package org.bulrushtack.command
+
+import com.fasterxml.jackson.databind.JsonNode
+import org.bulrushtack.core.settings.SettingsSchema
+
+/** Shows the data centres with their backend servers. */
+internal class DataCentreShowCommand : OperatorCommand(name = "show", description = "the data centres") {
+    override fun run() {
+        val status = daemon().get("/v1/operator/status")
+        show(answer = status, lines = ::lines)
+    }
+
+    private fun lines(status: JsonNode): List<String> {
+        val servers = status["servers"].groupBy { it["dataCentre"].asText() }
+        return servers.toSortedMap().flatMap { (name, rows) ->
+            val live = rows.count { it["state"].asText() == "live" }
+            listOf("$name ${stateOf(name)}", "  $live of ${rows.size} backend servers live")
+        }
+    }
+
+    private fun stateOf(dataCentre: String): String =
+        daemon().get("/v1/operator/tree?path=/${SettingsSchema.DATA_CENTRES}/$dataCentre").fold(
+            ifLeft = { "unknown" },
+            ifRight = { branch ->
+                branch["settings"].first { it["key"].asText() == SettingsSchema.STATE }["value"].asText()
+            },
+        )
+}
--- /dev/null
+++ b/command/src/main/kotlin/org/bulrushtack/command/Main.kt
@@ -0,0 +1,20 @@
+package org.bulrushtack.command
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import org.bulrushtack.program.ProgramLine
+
+/** The program `bulrushtack`. */
+@OptIn(ExperimentalCli::class)
+fun main(arguments: Array<String>) {
+    val parser = ArgParser(programName = "bulrushtack")
+    parser.subcommands(
+        TreeCommands(),
+        DataCentreCommands(),
+        StatusCommand(),
+        EntryCommand(),
+        KeyCommand(),
+        CheckCommand(),
+    )
+    ProgramLine.run(parser = parser, arguments = arguments, program = OperatorCommand::class.java)
+}
--- /dev/null
+++ b/command/src/main/kotlin/org/bulrushtack/command/TreeShowCommand.kt
@@ -0,0 +1,23 @@
+package org.bulrushtack.command
+
+import com.fasterxml.jackson.databind.JsonNode
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.optional
+
+/** Shows a branch: each value and where it comes from. */
+internal class TreeShowCommand : OperatorCommand(name = "show", description = "a branch, and where each value is from") {
+    private val path by argument(ArgType.String, fullName = "PATH", description = "such as /workspaces/dock")
+        .optional().default("/")
+
+    override fun run() = show(answer = daemon().get("/v1/operator/tree?path=$path"), lines = ::lines)
+
+    private fun lines(branch: JsonNode): List<String> {
+        val settings = branch["settings"].flatMap { row ->
+            val value = "${row["value"].asText()} ${row["unit"].asText()}".trim()
+            PhoneText.row("${row["key"].asText()} =", value) + "  from ${row["source"].asText()}"
+        }
+        val children = branch["children"].map { "> ${it.asText()}" }
+        return listOf(branch["path"].asText()) + settings + children
+    }
+}
--- a/program/src/main/kotlin/org/bulrushtack/program/ProgramLine.kt
+++ b/program/src/main/kotlin/org/bulrushtack/program/ProgramLine.kt
@@ -1,12 +1,18 @@
 package org.bulrushtack.program
 
 import kotlinx.cli.ArgParser
+import org.bulrushtack.program.ProgramCommand
 
 /** Reads a program's command line: the exit code is 0 for help and the version, and [EXIT_USAGE] for wrong use. */
 public object ProgramLine {
     /** The exit code for wrong use of a program. */
     public const val EXIT_USAGE: Int = 64
 
+    /** Parses [arguments] and runs the command that they name. */
+    public fun run(parser: ArgParser, arguments: Array<String>, program: Class<*>) {
+        if (parse(parser = parser, arguments = arguments, program = program)) ProgramCommand.chosen?.run()
+    }
+
     /** Parses [arguments]; gives false when the program has nothing more to do. */
     public fun parse(parser: ArgParser, arguments: Array<String>, program: Class<*>): Boolean {
         if ("--version" in arguments) {
--- a/standin/src/main/kotlin/org/bulrushtack/standin/EngineCommand.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/EngineCommand.kt
@@ -31,7 +31,7 @@
     ).default(defaults.checksFencing)
     private val instant by option(ArgType.Boolean, description = "answer at once").default(defaults.instant)
 
-    override fun execute() {
+    override fun run() {
         val options = EngineOptions(
             model = model,
             memoryTokens = memory.toLong(),
--- a/standin/src/main/kotlin/org/bulrushtack/standin/PlatformCommand.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/PlatformCommand.kt
@@ -26,7 +26,7 @@
         description = "age of the VM list",
     ).default(defaults.vmLagMillis.toInt())
 
-    override fun execute() {
+    override fun run() {
         val options = PlatformOptions(
             retentionMillis = retentionMillis.toLong(),
             appendsPerSecond = appends,
--- a/standin/src/main/kotlin/org/bulrushtack/standin/ServiceCommand.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/ServiceCommand.kt
@@ -16,7 +16,7 @@
     private val coldMillis by option(ArgType.Int, fullName = "cold-millis", description = "length of cold start")
         .default(defaults.coldMillis.toInt())
 
-    override fun execute() {
+    override fun run() {
         val options = ServiceOptions(workMillis = workMillis.toLong(), coldMillis = coldMillis.toLong())
         val standIn = ServiceStandIn(options).start(listen())
         announce(standIn = standIn, kind = "service", serves = service)
--- a/standin/src/main/kotlin/org/bulrushtack/standin/StandInCommand.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/StandInCommand.kt
@@ -2,18 +2,19 @@
 
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
-import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import org.bulrushtack.http.ClientRequest
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.HttpClient
+import org.bulrushtack.program.ProgramCommand
+import java.util.concurrent.CountDownLatch
 
 /** What the stand-ins' command lines share: the ports, and the row in the platform's VM list. */
 @OptIn(ExperimentalCli::class)
 internal abstract class StandInCommand(
     name: String,
     description: String,
-) : Subcommand(name, description) {
+) : ProgramCommand(name, description) {
     private val host by option(ArgType.String, description = "IP number to listen on").default("127.0.0.1")
     private val port by option(ArgType.Int, description = "port of the service").default(0)
     private val controlPort by option(ArgType.Int, fullName = "control-port", description = "port for faults").default(0)
@@ -28,10 +29,11 @@
     /** Where to listen. */
     protected fun listen(): ListenOptions = ListenOptions(host = host, port = port, controlPort = controlPort)
 
-    /** Says on which ports it listens, and puts the server into the VM list where that is asked for. */
+    /** Puts the server into the VM list where that is asked for, says on which ports it listens, and stays. */
     protected fun announce(standIn: StandIn, kind: String, serves: String) {
         platformControl?.let { register(address = it, standIn = standIn, kind = kind, serves = serves) }
         println("ready port=${standIn.port} control=${standIn.controlPort}")
+        CountDownLatch(1).await()
     }
 
     private fun register(address: String, standIn: StandIn, kind: String, serves: String) {
