--- a/bench/src/main/kotlin/org/bulrushtack/bench/BenchClient.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/BenchClient.kt
@@ -11,6 +11,7 @@
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageResponse
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.locks.LockSupport
 
 /** A caller of the system: asks for addresses, sends completions and bookings. */
 class BenchClient(
@@ -26,6 +27,16 @@
         return mapper.readTree(body)
     }
 
+    /** The addresses that the daemon at [address] names, once there are [count] of them. */
+    fun awaitEntries(address: String, count: Int): List<String> {
+        repeat(ENTRY_TRIES) {
+            val entries = entry(address)["entries"]?.map { it["address"].asText() }.orEmpty()
+            if (entries.size >= count) return entries
+            LockSupport.parkNanos(ENTRY_PAUSE_NANOS)
+        }
+        error("$address named fewer than $count daemons")
+    }
+
     /** Sends a streamed completion; the future never fails. */
     fun complete(address: String, load: CompletionLoad): CompletableFuture<CompletionResult> {
         val body = mapper.createObjectNode()
@@ -78,3 +89,6 @@
         val mapper: ObjectMapper = jacksonObjectMapper()
     }
 }
+
+private const val ENTRY_TRIES = 300
+private const val ENTRY_PAUSE_NANOS = 100_000_000L
--- a/bench/src/main/kotlin/org/bulrushtack/bench/demo/DemoCommand.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/demo/DemoCommand.kt
@@ -20,6 +20,7 @@
         fullName = "service-control",
         description = "control address of the booking stand-in",
     ).required()
+    private val daemons by option(ArgType.Int, description = "wait until so many daemons are named").default(1)
     private val requests by option(ArgType.Int, description = "how many completions").default(DEFAULT_REQUESTS)
     private val bookings by option(ArgType.Int, description = "how many bookings").default(DEFAULT_BOOKINGS)
     private val seed by option(ArgType.Int, description = "seed of the traffic").default(1)
@@ -27,7 +28,7 @@
     override fun run() {
         val group = EventLoops.create(2)
         val client = BenchClient(group = group, workspaceKey = key)
-        val entries = client.entry(entry)["entries"].map { it["address"].asText() }
+        val entries = client.awaitEntries(address = entry, count = daemons)
         println("demo: the entry answer names ${entries.joinToString()}")
         val traffic = DemoTraffic(client = client, entries = entries, random = Random(seed))
         val booked = traffic.book(count = bookings, serviceControl = serviceControl)
--- a/bench/src/main/kotlin/org/bulrushtack/bench/demo/DemoTraffic.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/demo/DemoTraffic.kt
@@ -44,10 +44,14 @@
             val second = entries[(number + 1) % entries.size]
             listOf(book(address = first, key = key), book(address = second, key = key))
         }.map { it.join() }
-        println("demo: ${answers.count { it != null && it.status == CREATED }} of ${2 * count} bookings were answered")
-        answers.filter { it == null || it.status != CREATED }.forEach { println("demo: booking: ${it?.text()}") }
+        val unanswered = answers.filter { it == null || it.status != CREATED }
+        println("demo: ${answers.size - unanswered.size} of ${answers.size} bookings were answered")
+        unanswered.forEach { println("demo: booking: ${it?.text()}") }
         val runs = client.get(address = serviceControl, path = "/control/runs")["runs"].map { it["key"].asText() }
-        return BookingCount(lost = keys.count { it !in runs }, doubled = keys.count { key -> runs.count { it == key } > 1 })
+        return BookingCount(
+            lost = keys.count { it !in runs },
+            doubled = keys.count { key -> runs.count { it == key } > 1 },
+        )
     }
 
     private fun book(address: String, key: String): CompletableFuture<HttpMessageResponse?> =
@@ -55,12 +59,15 @@
             .thenApply { it.getOrNull() }
 
     /** Every eighth prompt is long, up to 200,000 tokens. */
-    private fun promptTokens(number: Int): Int =
-        if (number % LONG_EVERY == 0) LONG_STEP * (1 + number / LONG_EVERY % LONG_STEPS) else random.nextInt(SHORTEST, SHORT)
+    private fun promptTokens(number: Int): Int = when {
+        number % LONG_EVERY == 0 -> LONG_STEP * (1 + number / LONG_EVERY % LONG_STEPS)
+        else -> random.nextInt(SHORTEST, SHORT)
+    }
 
     private fun shown(result: CompletionResult): String {
         val firstToken = result.firstTokenNanos?.let { "first token after ${it / NANOS_PER_MILLI} ms" }.orEmpty()
-        return listOf(result.outcome.name.lowercase(), result.kind, firstToken).filter { it.isNotEmpty() }.joinToString()
+        val parts = listOf(result.outcome.name.lowercase(), result.kind, firstToken)
+        return parts.filter { it.isNotEmpty() }.joinToString()
     }
 
     /** What became of completions. */
--- a/bench/src/main/kotlin/org/bulrushtack/bench/load/LoadCommand.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/load/LoadCommand.kt
@@ -22,7 +22,8 @@
     private val key by option(ArgType.String, description = "a workspace's key").required()
     private val rate by option(ArgType.Int, description = "completions a second").default(DEFAULT_RATE)
     private val seconds by option(ArgType.Int, description = "length of the run").default(DEFAULT_SECONDS)
-    private val warmup by option(ArgType.Int, description = "seconds that are not counted, first").default(DEFAULT_WARMUP)
+    private val warmup by option(ArgType.Int, description = "seconds before the count begins")
+        .default(DEFAULT_WARMUP)
     private val tokens by option(ArgType.Int, description = "tokens of each prompt").default(DEFAULT_TOKENS)
     private val answer by option(ArgType.Int, description = "tokens of each answer").default(DEFAULT_ANSWER)
     private val seed by option(ArgType.Int, description = "seed of the prompts").default(1)
@@ -58,7 +59,8 @@
 
     private fun report(results: List<CompletionResult>) {
         val histogram = Histogram(HIGHEST_MICROS, DIGITS)
-        results.mapNotNull { it.firstTokenNanos }.forEach { histogram.recordValue(minOf(HIGHEST_MICROS, it / NANOS_PER_MICRO)) }
+        results.mapNotNull { it.firstTokenNanos }
+            .forEach { nanos -> histogram.recordValue(minOf(HIGHEST_MICROS, nanos / NANOS_PER_MICRO)) }
         val outcomes = results.groupingBy { it.outcome }.eachCount()
         println("load: rate=$rate/s count=${results.size} prompt=$tokens answer=$answer outcomes=$outcomes")
         println("load: kinds=${results.filter { it.kind.isNotEmpty() }.groupingBy { it.kind }.eachCount()}")
@@ -77,4 +79,7 @@
 private const val MICROS_PER_MILLI = 1_000.0
 private const val HIGHEST_MICROS = 600_000_000L
 private const val DIGITS = 3
-private val PERCENTILES = listOf(50.0, 95.0, 99.0)
+private const val MEDIAN = 50.0
+private const val HIGH = 95.0
+private const val HIGHEST = 99.0
+private val PERCENTILES = listOf(MEDIAN, HIGH, HIGHEST)
--- a/command/src/main/kotlin/org/bulrushtack/command/DaemonClient.kt
+++ b/command/src/main/kotlin/org/bulrushtack/command/DaemonClient.kt
@@ -9,6 +9,7 @@
 import org.bulrushtack.http.ClientRequest
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.HttpClient
+import org.bulrushtack.http.HttpFailure
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageResponse
 
@@ -38,11 +39,14 @@
         ).join()
         group.shutdownGracefully()
         return answer.fold(
-            ifLeft = { Failure(exitCode = ExitCode.UNREACHABLE, text = "$address does not answer: ${it.reason}").left() },
+            ifLeft = { unreachable(it) },
             ifRight = { read(it) },
         )
     }
 
+    private fun unreachable(failure: HttpFailure): Either<Failure, JsonNode> =
+        Failure(exitCode = ExitCode.UNREACHABLE, text = "$address does not answer: ${failure.reason}").left()
+
     private fun read(response: HttpMessageResponse): Either<Failure, JsonNode> {
         val node = mapper.readTree(response.body)
         if (response.status == STATUS_OK) return node.right()
--- a/command/src/main/kotlin/org/bulrushtack/command/TreeEditCommand.kt
+++ b/command/src/main/kotlin/org/bulrushtack/command/TreeEditCommand.kt
@@ -38,12 +38,13 @@
     }
 
     private fun conclusion(answer: JsonNode): List<String> {
-        if (answer["dryRun"].asBoolean()) return listOf("dry run: nothing was changed")
         val behind = answer["behind"].map { it.asText() }
-        val offset = answer["offset"].asLong()
-        val millis = answer["inForceMillis"].asLong()
-        if (behind.isEmpty()) return listOf("accepted at $offset", "in force everywhere after $millis ms")
-        return listOf("accepted at $offset") + PhoneText.row("not confirmed by", behind.joinToString())
+        val accepted = "accepted at ${answer["offset"].asLong()}"
+        return when {
+            answer["dryRun"].asBoolean() -> listOf("dry run: nothing was changed")
+            behind.isEmpty() -> listOf(accepted, "in force everywhere after ${answer["inForceMillis"].asLong()} ms")
+            else -> listOf(accepted) + PhoneText.row("not confirmed by", behind.joinToString())
+        }
     }
 
     /** One change; a null [value] removes the setting. */
--- a/command/src/main/kotlin/org/bulrushtack/command/TreeHistoryCommand.kt
+++ b/command/src/main/kotlin/org/bulrushtack/command/TreeHistoryCommand.kt
@@ -4,7 +4,7 @@
 import java.time.Instant
 
 /** Shows the last edits, the newest first. */
-internal class TreeHistoryCommand : OperatorCommand(name = "history", description = "the last edits, the newest first") {
+internal class TreeHistoryCommand : OperatorCommand(name = "history", description = "the last edits") {
     override fun run() = show(answer = daemon().get("/v1/operator/history"), lines = ::lines)
 
     private fun lines(history: JsonNode): List<String> = history["edits"].flatMap { edit ->
--- a/command/src/main/kotlin/org/bulrushtack/command/TreeShowCommand.kt
+++ b/command/src/main/kotlin/org/bulrushtack/command/TreeShowCommand.kt
@@ -6,7 +6,7 @@
 import kotlinx.cli.optional
 
 /** Shows a branch: each value and where it comes from. */
-internal class TreeShowCommand : OperatorCommand(name = "show", description = "a branch, and where each value is from") {
+internal class TreeShowCommand : OperatorCommand(name = "show", description = "a branch with its values") {
     private val path by argument(ArgType.String, fullName = "PATH", description = "such as /workspaces/dock")
         .optional().default("/")
 
--- a/core/src/main/kotlin/org/bulrushtack/core/backend/EngineRequest.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/backend/EngineRequest.kt
@@ -6,7 +6,7 @@
  * @property resumeFrom how many tokens of the answer are known already; the engine goes on after them
  * @property priority 0 for the most urgent
  */
-public class EngineRequest(
+public data class EngineRequest(
     public val order: BackendOrder,
     public val model: String,
     public val prompt: ByteArray,
--- a/core/src/main/kotlin/org/bulrushtack/core/backend/ServiceRequest.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/backend/ServiceRequest.kt
@@ -1,7 +1,7 @@
 package org.bulrushtack.core.backend
 
 /** A call of a plain service. */
-public class ServiceRequest(
+public data class ServiceRequest(
     public val order: BackendOrder,
     public val workspace: String,
     public val service: String,
--- a/core/src/main/kotlin/org/bulrushtack/core/call/ActiveCall.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/ActiveCall.kt
@@ -22,6 +22,10 @@
     val lastProblem: Problem? = null,
     val callerAnswered: Boolean = false,
 ) {
+    /** The call after its attempt failed. */
+    internal fun withoutServer(): ActiveCall =
+        copy(failedServers = failedServers + listOfNotNull(server), server = null)
+
     /** How far it has come. */
     public enum class Stage {
         /** This daemon's claim is on its way into the log. */
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallDispatches.kt
@@ -0,0 +1,87 @@
+package org.bulrushtack.core.call
+
+import org.bulrushtack.core.call.ActiveCall.Stage
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RunState
+import org.bulrushtack.core.request.Backoff
+import org.bulrushtack.core.server.BackendServerDirectory
+import org.bulrushtack.core.server.ServerChoice
+import org.bulrushtack.core.server.ServerNeed
+import kotlin.random.Random
+
+/** Sends calls that may be sent. One under a claim is sent again only while nothing of it can have run. */
+internal class CallDispatches(
+    private val region: CallsRegion,
+    private val directory: BackendServerDirectory,
+    private val choice: ServerChoice,
+    private val claims: CallClaims,
+    random: Random,
+) {
+    private val backoff = Backoff(random = random)
+
+    /** Sends [active] to the owner of a backend server, or tries again later. */
+    fun send(active: ActiveCall, nowMillis: Long): List<Action> {
+        val need = ServerNeed(
+            candidates = directory.servers(active.call.service),
+            reservedTokens = 0,
+            avoid = active.failedServers,
+        )
+        val server = choice.choose(need = need, nowMillis = nowMillis)
+        val owner = server?.let { directory.owners.currentOwner(server = it, nowMillis = nowMillis) }
+        if (server == null || owner == null) {
+            return sendLater(active = active, problem = Problem(ErrorKind.NO_BACKEND_SERVER), nowMillis = nowMillis)
+        }
+        val attempt = active.attempt + 1
+        region.put(active.copy(stage = Stage.SENT, attempt = attempt, server = server.name, retryAtMillis = null))
+        return listOf(
+            Action.SendCall(
+                requestId = active.call.id,
+                attempt = attempt,
+                server = server.name,
+                ownerAddress = directory.owners.addressOf(owner),
+            ),
+        )
+    }
+
+    /** Sends what waited long enough after a failure. */
+    fun retry(nowMillis: Long): List<Action> = region.active.values
+        .filter { it.stage == Stage.READY && it.retryAtMillis != null && it.retryAtMillis <= nowMillis }
+        .flatMap { send(active = it, nowMillis = nowMillis) }
+
+    /** The service answered. */
+    fun answered(event: Event.CallAnswered): List<Action> {
+        val active = region.active[event.requestId] ?: return emptyList()
+        claims.finish(active = active, known = true, answer = event.answer)
+        return region.answer(call = active, answer = event.answer, replayed = false)
+    }
+
+    /** A dispatch failed. */
+    fun failed(event: Event.CallAttemptFailed, nowMillis: Long): List<Action> {
+        val active = region.active[event.requestId]
+        val mayRepeat = active?.claimKey == null || event.problem.kind.ran == RunState.NO
+        return when {
+            active == null -> emptyList()
+            mayRepeat -> sendLater(active = active.withoutServer(), problem = event.problem, nowMillis = nowMillis)
+            else -> {
+                claims.finish(active = active, known = false, answer = null)
+                region.fail(active, ErrorKind.OUTCOME_UNKNOWN)
+            }
+        }
+    }
+
+    private fun sendLater(active: ActiveCall, problem: Problem, nowMillis: Long): List<Action> {
+        val retryAtMillis = nowMillis + backoff.pauseMillis(active.attempt + 1)
+        val tooLate = retryAtMillis >= active.call.deadlineAtMillis || active.callerAnswered
+        if (tooLate || active.attempt >= MAXIMUM_ATTEMPTS) {
+            claims.release(active)
+            return region.fail(active, problem.kind)
+        }
+        region.put(active.copy(stage = Stage.READY, retryAtMillis = retryAtMillis, lastProblem = problem))
+        return emptyList()
+    }
+}
+
+private const val MAXIMUM_ATTEMPTS = 6
--- a/core/src/main/kotlin/org/bulrushtack/core/control/Action.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/Action.kt
@@ -4,49 +4,67 @@
 import org.bulrushtack.core.dispatch.WorkId
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.log.CallAnswer
-import org.bulrushtack.core.log.FoldedEntry
+import org.bulrushtack.core.log.FoldOutcome
 import org.bulrushtack.core.log.LogRecord
 import org.bulrushtack.core.membership.HeartbeatMessage
 
 /** What controllers ask the edges of a daemon to do. */
 public sealed interface Action {
+    /** For the platform. */
+    public sealed interface PlatformAction : Action
+
+    /** For other daemons. */
+    public sealed interface PeerAction : Action
+
+    /** For backend servers that this daemon owns. */
+    public sealed interface OwnerAction : Action
+
+    /** For completions that this daemon took. */
+    public sealed interface CompletionAction : Action
+
+    /** For service calls that this daemon took. */
+    public sealed interface CallAction : Action
+
+    /** For operators who wait for an edit. */
+    public sealed interface OperatorAction : Action
+
     /** Append records to the log in one call. */
     public data class AppendRecords(
         val records: List<LogRecord>,
-    ) : Action
+    ) : PlatformAction
 
     /** Read records after [afterOffset] from a peer. */
     public data class ReadFromPeer(
         val peer: String,
         val address: String,
         val afterOffset: Long,
-    ) : Action
+    ) : PeerAction
 
     /** Send a heartbeat. */
     public data class SendHeartbeat(
         val peer: String,
         val address: String,
         val message: HeartbeatMessage,
-    ) : Action
+    ) : PeerAction
 
     /** Read the load report and the running list of an owned backend server. */
     public data class PollServer(
         val server: String,
         val address: String,
-    ) : Action
+    ) : OwnerAction
 
     /** Dispatch [work] to its backend server under the fencing number [fence]. */
     public data class StartWork(
         val work: Work,
         val address: String,
         val fence: Long,
-    ) : Action
+    ) : OwnerAction
 
     /** Refuse work that was submitted and not dispatched. */
     public data class RefuseWork(
         val id: WorkId,
         val problem: Problem,
-    ) : Action
+    ) : OwnerAction
 
     /** Cancel a request on a backend server; repeated until its list no longer shows it. */
     public data class CancelOnServer(
@@ -54,7 +72,7 @@
         val address: String,
         val serverRequestId: String,
         val fence: Long,
-    ) : Action
+    ) : OwnerAction
 
     /** Send an attempt of a completion to the owner of [server]; an empty [ownerAddress] is this daemon. */
     public data class SendAttempt(
@@ -62,13 +80,13 @@
         val attempt: Int,
         val server: String,
         val ownerAddress: String,
-    ) : Action
+    ) : CompletionAction
 
     /** End a completion with a problem. */
     public data class FailRequest(
         val requestId: String,
         val problem: Problem,
-    ) : Action
+    ) : CompletionAction
 
     /** Send a call to the owner of [server]; an empty [ownerAddress] is this daemon. */
     public data class SendCall(
@@ -76,30 +94,31 @@
         val attempt: Int,
         val server: String,
         val ownerAddress: String,
-    ) : Action
+    ) : CallAction
 
     /** Answer a call. */
     public data class AnswerCall(
         val requestId: String,
         val answer: CallAnswer,
         val replayed: Boolean,
-    ) : Action
+    ) : CallAction
 
     /** End a call with a problem. */
     public data class FailCall(
         val requestId: String,
         val problem: Problem,
-    ) : Action
+    ) : CallAction
 
     /** An operator's edit was folded. */
     public data class EditFolded(
         val editId: String,
-        val folded: FoldedEntry,
-    ) : Action
+        val offset: Long,
+        val outcome: FoldOutcome,
+    ) : OperatorAction
 
     /** An operator's edit was not taken by the log. */
     public data class EditFailed(
         val editId: String,
         val problem: Problem,
-    ) : Action
+    ) : OperatorAction
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
@@ -90,12 +90,11 @@
         val request: CompletionRequest,
     ) : Event
 
-    /** An attempt of a completion failed after [tokensReceived] tokens of the whole answer. */
+    /** An attempt of a completion failed. */
     public data class AttemptFailed(
         val requestId: String,
         val attempt: Int,
         val problem: Problem,
-        val tokensReceived: Long,
     ) : Event
 
     /** A completion ended, well or because its caller went away. */
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
@@ -69,12 +69,11 @@
     /** The whole bound on requests at once, for all senders together. */
     public fun bound(settings: ServerSettings, nowMillis: Long): Int {
         val rampSince = rampSinceMillis
-        if (!listed || incarnation == null) return 0
-        if (cold || rampSince == null || suspectSinceMillis != null) return settings.coldConcurrency
-        val floor = maxOf(settings.coldConcurrency, rampFloor)
-        if (settings.rampMillis == 0L) return settings.warmConcurrency
-        val risen = (settings.warmConcurrency - floor) * (nowMillis - rampSince) / settings.rampMillis
-        return (floor + risen).coerceAtMost(settings.warmConcurrency.toLong()).toInt()
+        return when {
+            !listed || incarnation == null -> 0
+            cold || rampSince == null || suspectSinceMillis != null -> settings.coldConcurrency
+            else -> rampBound(settings = settings, elapsedMillis = nowMillis - rampSince)
+        }
     }
 
     /** Whether one more request fits under the bound and this daemon's share of it. */
@@ -104,6 +103,20 @@
         cold = true
     }
 
+    /** Notes that the connection of a dispatch was lost while the server may still hold it. */
+    internal fun lose(id: WorkId, nowMillis: Long) {
+        val charge = running[id] ?: return
+        running[id] = charge.copy(lostAtMillis = nowMillis)
+        suspectSinceMillis = nowMillis
+    }
+
+    private fun rampBound(settings: ServerSettings, elapsedMillis: Long): Int {
+        val floor = maxOf(settings.coldConcurrency, rampFloor)
+        val length = maxOf(1, settings.rampMillis)
+        val risen = (settings.warmConcurrency - floor) * minOf(elapsedMillis, length) / length
+        return minOf(settings.warmConcurrency, floor + risen.toInt())
+    }
+
     private fun fitsLongShare(tokens: Long, settings: ServerSettings): Boolean {
         if (tokens <= settings.longTokens) return true
         val longTokens = running.values.map { it.work.reservedTokens }.filter { it > settings.longTokens }.sum()
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/LedgersRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/LedgersRegion.kt
@@ -9,9 +9,6 @@
 public class LedgersRegion {
     private val ledgers = LinkedHashMap<String, Ledger>()
 
-    /** When this daemon first saw a backend server without a living owner, or null. */
-    public var startedAtMillis: Long? = null
-
     /** Opens the ledger of [server] for orders under [fence]. */
     public fun open(server: String, fence: Long, nowMillis: Long): Ledger {
         val ledger = ledgers.getOrPut(server) { Ledger(server = server) }
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
@@ -12,19 +12,17 @@
 
     /** Takes a load report; one of another incarnation is too late to count. */
     fun report(event: Event.ServerReported, nowMillis: Long): List<Action> {
-        val ledger = ledgers.find(event.server) ?: return emptyList()
-        if (event.report.incarnation != ledger.incarnation) return emptyList()
-        if (event.report.cold) cool(ledger)
-        if (!event.report.cold && ledger.cold) {
-            ledger.cold = false
-            ledger.rampSinceMillis = nowMillis
-            ledger.rampFloor = ledger.running.size + ledger.foreign.size
+        val ledger = ledgers.find(event.server)?.takeIf { it.incarnation == event.report.incarnation }
+        when {
+            ledger == null -> Unit
+            event.report.cold -> cool(ledger)
+            ledger.cold -> warm(ledger = ledger, nowMillis = nowMillis)
         }
         return emptyList()
     }
 
     /** Takes the server's list; requests that it no longer holds free their memory. */
-    fun list(event: Event.ServerListed, address: String?, nowMillis: Long): List<Action> {
+    fun list(event: Event.ServerListed, address: String, nowMillis: Long): List<Action> {
         val ledger = ledgers.find(event.server) ?: return emptyList()
         val list = event.list
         seeIncarnation(ledger = ledger, incarnation = list.incarnation)
@@ -36,7 +34,7 @@
         ledger.listed = true
         val suspectSince = ledger.suspectSinceMillis
         if (suspectSince != null && event.askedAtMillis >= suspectSince) ledger.suspectSinceMillis = null
-        return if (address == null) emptyList() else cancels(ledger = ledger, address = address, nowMillis = nowMillis)
+        return cancels(ledger = ledger, address = address, nowMillis = nowMillis)
     }
 
     /** Notes the server's incarnation; a new one is cold and holds nothing of before. */
@@ -53,6 +51,12 @@
         ledger.rampFloor = 0
     }
 
+    private fun warm(ledger: Ledger, nowMillis: Long) {
+        ledger.cold = false
+        ledger.rampSinceMillis = nowMillis
+        ledger.rampFloor = ledger.running.size + ledger.foreign.size
+    }
+
     /** Only dispatches from before the question can be missing from its answer because they ended. */
     private fun freeWhatEnded(ledger: Ledger, event: Event.ServerListed) {
         val held = event.list.requests.map { it.id }.toSet()
@@ -71,10 +75,9 @@
     }
 
     private fun isOrphan(request: RunningList.RunningRequest, nowMillis: Long): Boolean {
-        val self = blackboard.identity
-        if (request.owner == self.name) return true
-        val member = blackboard.members.members[request.owner] ?: return true
-        val restarted = member.digest.incarnation != request.ownerIncarnation
-        return restarted || !blackboard.members.isLive(name = request.owner, nowMillis = nowMillis)
+        val member = blackboard.members.members[request.owner]
+        return request.owner == blackboard.identity.name || member == null ||
+            member.digest.incarnation != request.ownerIncarnation ||
+            !blackboard.members.isLive(name = request.owner, nowMillis = nowMillis)
     }
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/log/AppendController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/AppendController.kt
@@ -67,22 +67,25 @@
     }
 
     private fun editAction(id: String, folded: FoldedEntry?): Action {
-        if (folded != null) return Action.EditFolded(editId = id, folded = folded)
-        val summary = region.folder.edits().firstOrNull { it.id == id }
-            ?: return Action.EditFailed(editId = id, problem = Problem(ErrorKind.EDIT_UNCONFIRMED))
-        val outcome = when {
-            summary.conflicts.isEmpty() -> FoldOutcome.Accepted
-            else -> FoldOutcome.Rejected(conflicts = summary.conflicts)
+        val summary = region.folder.edits.find(id)
+        return when {
+            folded != null -> Action.EditFolded(editId = id, offset = folded.entry.offset, outcome = folded.outcome)
+            summary == null -> Action.EditFailed(editId = id, problem = Problem(ErrorKind.EDIT_UNCONFIRMED))
+            summary.conflicts.isEmpty() ->
+                Action.EditFolded(editId = id, offset = summary.offset, outcome = FoldOutcome.Accepted)
+            else -> Action.EditFolded(
+                editId = id,
+                offset = summary.offset,
+                outcome = FoldOutcome.Rejected(conflicts = summary.conflicts),
+            )
         }
-        val record = SettingsEdit(id = id, operator = summary.operator, changes = summary.changes)
-        val entry = LogEntry(offset = summary.offset, appendedAtMillis = summary.appendedAtMillis, record = record)
-        return Action.EditFolded(editId = id, folded = FoldedEntry(entry = entry, outcome = outcome))
     }
 
     /** The log was read to a tail that is younger than the lost answer: what is not there is sent again. */
     private fun resolveDoubts(event: Event.RecordsRead): List<Action> {
-        val tail = event.tailOffset ?: return emptyList()
-        if (event.askedAtMillis < doubtfulSinceMillis || region.folder.appliedOffset < tail) return emptyList()
+        val tail = event.tailOffset
+        val isYounger = event.askedAtMillis >= doubtfulSinceMillis
+        if (tail == null || !isYounger || region.folder.appliedOffset < tail) return emptyList()
         region.pending.values.filter { it.stage == Stage.DOUBTFUL }.forEach { put(it.copy(stage = Stage.WAITING)) }
         return emptyList()
     }
@@ -98,11 +101,9 @@
     }
 
     private fun nextBatch(nowMillis: Long): List<Action> {
-        if (region.pending.values.any { it.stage == Stage.SENT }) return emptyList()
-        val batch = region.pending.values
-            .filter { it.stage == Stage.WAITING && it.nextTryAtMillis <= nowMillis }
-            .take(MAXIMUM_BATCH)
-        if (batch.isEmpty()) return emptyList()
+        val waiting = region.pending.values.filter { it.stage == Stage.WAITING && it.nextTryAtMillis <= nowMillis }
+        if (waiting.isEmpty() || region.pending.values.any { it.stage == Stage.SENT }) return emptyList()
+        val batch = waiting.take(MAXIMUM_BATCH)
         batch.forEach { put(it.copy(stage = Stage.SENT)) }
         return listOf(Action.AppendRecords(records = batch.map { it.record }))
     }
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/ClaimTable.kt
@@ -0,0 +1,53 @@
+package org.bulrushtack.core.log
+
+/** The claimed calls and their outcomes, as the log decides them; the oldest come first and expire. */
+public class ClaimTable {
+    private val claims = LinkedHashMap<CallKey, ClaimEntry>()
+
+    /** How many claims are held. */
+    public val size: Int get() = claims.size
+
+    /** The claim of [call], or null. */
+    public fun find(call: CallKey): ClaimEntry? = claims[call]
+
+    /** The table as rows. */
+    public fun rows(): List<LogState.ClaimRow> =
+        claims.map { (call, entry) -> LogState.ClaimRow(call = call, entry = entry) }
+
+    internal fun load(rows: List<LogState.ClaimRow>) {
+        claims.clear()
+        rows.forEach { claims[it.call] = it.entry }
+    }
+
+    internal fun claim(record: CallClaim, appendedAtMillis: Long): FoldOutcome {
+        if (record.call in claims) return FoldOutcome.Rejected()
+        claims[record.call] = ClaimEntry(
+            claimId = record.id,
+            claimant = record.claimant,
+            claimantIncarnation = record.claimantIncarnation,
+            fingerprint = record.fingerprint,
+            claimedAtMillis = appendedAtMillis,
+        )
+        return FoldOutcome.Accepted
+    }
+
+    internal fun release(record: CallRelease): FoldOutcome {
+        if (openClaim(record.call, record.claimId) == null) return FoldOutcome.Rejected()
+        claims.remove(record.call)
+        return FoldOutcome.Accepted
+    }
+
+    internal fun finish(record: CallOutcome): FoldOutcome {
+        val current = openClaim(record.call, record.claimId) ?: return FoldOutcome.Rejected()
+        claims[record.call] = current.copy(outcome = record)
+        return FoldOutcome.Accepted
+    }
+
+    internal fun expire(beforeMillis: Long) {
+        val oldest = claims.values.iterator()
+        while (oldest.hasNext() && oldest.next().claimedAtMillis < beforeMillis) oldest.remove()
+    }
+
+    private fun openClaim(call: CallKey, claimId: String): ClaimEntry? =
+        claims[call]?.takeIf { it.claimId == claimId && it.outcome == null }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/EditHistory.kt
@@ -0,0 +1,40 @@
+package org.bulrushtack.core.log
+
+import org.bulrushtack.core.settings.SettingAddress
+import org.bulrushtack.core.settings.SettingsSchema
+
+/** The last edits of the settings tree, accepted and rejected. Values of secret settings are not kept. */
+public class EditHistory {
+    private val edits = ArrayDeque<EditSummary>()
+
+    /** The edits, oldest first. */
+    public fun all(): List<EditSummary> = edits.toList()
+
+    /** The edit with this identifier, or null. */
+    public fun find(id: String): EditSummary? = edits.firstOrNull { it.id == id }
+
+    internal fun load(rows: List<EditSummary>) {
+        edits.clear()
+        edits.addAll(rows)
+    }
+
+    internal fun add(entry: LogEntry, record: SettingsEdit, conflicts: List<SettingAddress>) {
+        val shown = record.changes.map { change ->
+            val secret = SettingsSchema.find(change.address.key)?.secret ?: false
+            if (secret && change.value != null) change.copy(value = "(hidden)") else change
+        }
+        edits.addLast(
+            EditSummary(
+                id = record.id,
+                offset = entry.offset,
+                appendedAtMillis = entry.appendedAtMillis,
+                operator = record.operator,
+                changes = shown,
+                conflicts = conflicts,
+            ),
+        )
+        if (edits.size > REMEMBERED_EDITS) edits.removeFirst()
+    }
+}
+
+private const val REMEMBERED_EDITS = 400
--- a/core/src/main/kotlin/org/bulrushtack/core/log/LogController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/LogController.kt
@@ -40,11 +40,14 @@
         val folder = region.folder
         val record = entry.record
         if (record is Snapshot) load(record)
-        if (entry.offset != folder.appliedOffset + 1) return null
-        val folded = folder.fold(entry) ?: return null
+        val folded = if (entry.offset == folder.appliedOffset + 1) folder.fold(entry) else null
+        if (folded != null) remember(entry)
+        return folded
+    }
+
+    private fun remember(entry: LogEntry) {
         region.recent.addLast(entry)
         if (region.recent.size > RECENT_ENTRIES) region.recent.removeFirst()
-        return folded
     }
 
     private fun load(snapshot: Snapshot) {
@@ -76,20 +79,21 @@
     /** A daemon that is behind its peers and hears nothing of the log reads what they hold. */
     private fun readFromPeer(nowMillis: Long): List<Action> {
         if (nowMillis < nextPeerReadAtMillis) return emptyList()
-        val ahead = blackboard.members.members.values.filter { member ->
-            member.digest.appliedOffset > region.folder.appliedOffset &&
-                blackboard.members.isLive(name = member.digest.name, nowMillis = nowMillis)
-        }
-        val peer = ahead.randomOrNull(random) ?: return emptyList()
-        val address = blackboard.members.vms[peer.digest.name]?.peerAddress ?: return emptyList()
         nextPeerReadAtMillis = nowMillis + PEER_READ_MILLIS
-        return listOf(
-            Action.ReadFromPeer(
-                peer = peer.digest.name,
-                address = address,
-                afterOffset = region.folder.appliedOffset,
-            ),
-        )
+        val members = blackboard.members
+        return members.members.values
+            .filter { it.digest.appliedOffset > region.folder.appliedOffset }
+            .filter { members.isLive(name = it.digest.name, nowMillis = nowMillis) }
+            .mapNotNull { members.vms[it.digest.name] }
+            .shuffled(random)
+            .take(1)
+            .map { vm ->
+                Action.ReadFromPeer(
+                    peer = vm.name,
+                    address = vm.peerAddress,
+                    afterOffset = region.folder.appliedOffset,
+                )
+            }
     }
 }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/log/OwnerTable.kt
@@ -0,0 +1,52 @@
+package org.bulrushtack.core.log
+
+/** The recorded owners of backend servers, as the log decides them. */
+public class OwnerTable {
+    private val owners = LinkedHashMap<String, OwnerEntry>()
+
+    /** The recorded owner of [server], or null when none was ever recorded. */
+    public fun find(server: String): OwnerEntry? = owners[server]
+
+    /** The table as rows. */
+    public fun rows(): List<LogState.OwnerRow> =
+        owners.map { (server, entry) -> LogState.OwnerRow(server = server, entry = entry) }
+
+    internal fun load(rows: List<LogState.OwnerRow>) {
+        owners.clear()
+        rows.forEach { owners[it.server] = it.entry }
+    }
+
+    internal fun claim(record: OwnershipClaim, offset: Long): FoldOutcome {
+        val current = owners[record.server]
+        if ((current?.epoch ?: 0) != record.replacesEpoch) return FoldOutcome.Rejected()
+        owners[record.server] = OwnerEntry(
+            owner = record.owner,
+            ownerIncarnation = record.ownerIncarnation,
+            epoch = offset,
+            predecessors = predecessorsAfter(current),
+        )
+        return FoldOutcome.Accepted
+    }
+
+    internal fun release(record: OwnershipRelease, offset: Long): FoldOutcome {
+        val current = owners[record.server]
+        if (current?.epoch != record.epoch) return FoldOutcome.Rejected()
+        owners[record.server] = OwnerEntry(
+            owner = null,
+            ownerIncarnation = null,
+            epoch = offset,
+            predecessors = current.predecessors,
+        )
+        return FoldOutcome.Accepted
+    }
+
+    private fun predecessorsAfter(current: OwnerEntry?): List<OwnerEntry.Predecessor> {
+        val owner = current?.owner
+        val incarnation = current?.ownerIncarnation
+        if (owner == null || incarnation == null) return current?.predecessors.orEmpty()
+        val latest = OwnerEntry.Predecessor(owner = owner, incarnation = incarnation)
+        return (current.predecessors - latest + latest).takeLast(REMEMBERED_PREDECESSORS)
+    }
+}
+
+private const val REMEMBERED_PREDECESSORS = 4
--- a/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
@@ -79,9 +79,9 @@
      * the clock set back, the daemon's own word counts once the earlier incarnation has lapsed.
      */
     private fun replaces(digest: MemberDigest, known: Member, direct: Boolean, nowMillis: Long): Boolean {
-        if (digest.incarnation == known.digest.incarnation) return false
-        if (digest.incarnation > known.digest.incarnation) return true
-        return direct && !region.isLive(name = digest.name, nowMillis = nowMillis)
+        val isLater = digest.incarnation > known.digest.incarnation
+        val isOther = digest.incarnation != known.digest.incarnation
+        return isLater || (isOther && direct && !region.isLive(name = digest.name, nowMillis = nowMillis))
     }
 }
 
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipClaims.kt
@@ -0,0 +1,76 @@
+package org.bulrushtack.core.ownership
+
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.RecordIdentifiers
+import org.bulrushtack.core.log.LogRecord
+import org.bulrushtack.core.log.OwnershipClaim
+import org.bulrushtack.core.log.OwnershipRelease
+import org.bulrushtack.core.server.BackendServer
+
+/** Decides when this daemon claims a backend server or gives one up, by record. */
+internal class OwnershipClaims(
+    private val blackboard: Blackboard,
+    private val identifiers: RecordIdentifiers,
+) {
+    private val self = blackboard.identity
+    private val inFlight = HashMap<String, String>()
+    private val bestSinceMillis = HashMap<String, Long>()
+    private var startedAtMillis: Long? = null
+
+    /** Asks for a record where one is due; [isBest] says whether this daemon should own [server]. */
+    fun review(server: BackendServer, isBest: Boolean, nowMillis: Long) {
+        if (isBest) bestSinceMillis.putIfAbsent(server.name, nowMillis) else bestSinceMillis.remove(server.name)
+        if (inFlight[server.name] in blackboard.log.pending) return
+        val record = due(server = server, isBest = isBest, nowMillis = nowMillis) ?: return
+        inFlight[server.name] = record.id
+        blackboard.log.append(record = record, givesUpAtMillis = nowMillis + PATIENCE_MILLIS)
+    }
+
+    /** Whether this incarnation is the recorded owner of [server]. */
+    fun isRecordedOwner(server: String): Boolean {
+        val entry = blackboard.log.folder.owners.find(server)
+        return entry?.owner == self.name && entry.ownerIncarnation == self.incarnation
+    }
+
+    /** Whether this daemon has had the time to hear from living owners. */
+    fun isPastStart(nowMillis: Long): Boolean {
+        val startedAt = startedAtMillis ?: nowMillis.also { startedAtMillis = it }
+        return nowMillis - startedAt >= STARTING_MILLIS || blackboard.members.peers(self.name).isEmpty()
+    }
+
+    private fun due(server: BackendServer, isBest: Boolean, nowMillis: Long): LogRecord? {
+        val epoch = blackboard.log.folder.owners.find(server.name)?.epoch ?: 0
+        val owns = isRecordedOwner(server.name)
+        return when {
+            isBest && !owns && mayClaim(server = server, nowMillis = nowMillis) -> OwnershipClaim(
+                id = identifiers.next(),
+                server = server.name,
+                owner = self.name,
+                ownerIncarnation = self.incarnation,
+                replacesEpoch = epoch,
+            )
+            owns && blackboard.members.leaving && blackboard.members.stayingMembers(nowMillis).isEmpty() ->
+                OwnershipRelease(id = identifiers.next(), server = server.name, epoch = epoch)
+            else -> null
+        }
+    }
+
+    /** A claim on a living owner's server waits until this daemon has been the best choice for a while. */
+    private fun mayClaim(server: BackendServer, nowMillis: Long): Boolean {
+        val entry = blackboard.log.folder.owners.find(server.name)
+        val owner = entry?.owner
+        val member = blackboard.members.members[owner]
+        val lives = owner != null && blackboard.members.isLive(name = owner, nowMillis = nowMillis)
+        return when {
+            !blackboard.log.isConfirmed(nowMillis) -> false
+            owner == null || owner == self.name -> true
+            !lives -> isPastStart(nowMillis)
+            member?.digest?.incarnation != entry.ownerIncarnation || member?.digest?.leaving == true -> true
+            else -> nowMillis - (bestSinceMillis[server.name] ?: nowMillis) >= STABLE_MILLIS
+        }
+    }
+}
+
+private const val STABLE_MILLIS = 10_000L
+private const val STARTING_MILLIS = 4_000L
+private const val PATIENCE_MILLIS = 5_000L
--- a/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
@@ -13,36 +13,31 @@
     private val blackboard: Blackboard,
 ) {
     /** The share of [server]'s bounds for its recorded owner at [nowMillis], from 0 to 1. */
-    fun recorded(server: BackendServer, entry: OwnerEntry?, nowMillis: Long, ledger: Ledger): Double {
-        if (!blackboard.log.isConfirmed(nowMillis)) return unconfirmed(nowMillis)
-        if (server.settings.checksFencing && ledger.fenceAccepted) return Ledger.FULL_SHARE
-        val uncertain = entry?.predecessors.orEmpty().count { mayStillDispatch(it, entry, nowMillis, ledger) }
-        return maxOf(0.0, Ledger.FULL_SHARE - uncertain * Ledger.HALF_SHARE)
+    fun recorded(server: BackendServer, entry: OwnerEntry, nowMillis: Long, ledger: Ledger): Double = when {
+        !blackboard.log.isConfirmed(nowMillis) -> unconfirmed(nowMillis)
+        server.settings.checksFencing && ledger.fenceAccepted -> Ledger.FULL_SHARE
+        else -> {
+            val uncertain = entry.predecessors.count { mayStillDispatch(it, entry, nowMillis, ledger) }
+            maxOf(Ledger.NO_SHARE, Ledger.FULL_SHARE - uncertain * Ledger.HALF_SHARE)
+        }
     }
 
-    private fun unconfirmed(nowMillis: Long): Double {
-        val hears = blackboard.members.hearsMajority(
-            self = blackboard.identity.name,
-            nowMillis = nowMillis,
-            windowMillis = ISOLATION_MILLIS,
-        )
-        return if (hears) Ledger.HALF_SHARE else Ledger.NO_SHARE
-    }
+    private fun unconfirmed(nowMillis: Long): Double =
+        if (hearsMajority(nowMillis)) Ledger.HALF_SHARE else Ledger.NO_SHARE
 
     /** A predecessor is certain once it has folded this epoch, was replaced, or must have stopped by itself. */
     private fun mayStillDispatch(
         predecessor: OwnerEntry.Predecessor,
-        entry: OwnerEntry?,
+        entry: OwnerEntry,
         nowMillis: Long,
         ledger: Ledger,
     ): Boolean {
         val self = blackboard.identity
         val digest = blackboard.members.members[predecessor.owner]?.digest
-        val epoch = entry?.epoch ?: 0
         return when {
             predecessor.owner == self.name -> false
             digest != null && digest.incarnation != predecessor.incarnation -> false
-            digest != null && digest.appliedOffset >= epoch -> false
+            digest != null && digest.appliedOffset >= entry.epoch -> false
             else -> nowMillis - ledger.fenceSinceMillis < STOPPED_MILLIS || !hearsMajority(nowMillis)
         }
     }
--- a/core/src/main/kotlin/org/bulrushtack/core/request/ActiveRequest.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/ActiveRequest.kt
@@ -1,7 +1,5 @@
 package org.bulrushtack.core.request
 
-import org.bulrushtack.core.error.Problem
-
 /**
  * A completion that has not ended.
  *
@@ -9,7 +7,7 @@
  * @property server the backend server of the attempt under way, or null between attempts
  * @property owner the daemon that the attempt under way was sent to
  * @property retryAtMillis when to try again, or null while an attempt is under way
- * @property lastProblem why the last attempt failed
+ * @property mayHaveRun whether an earlier attempt may have reached a backend server
  */
 public data class ActiveRequest(
     val request: CompletionRequest,
@@ -18,6 +16,5 @@
     val owner: String? = null,
     val failedServers: Set<String> = emptySet(),
     val retryAtMillis: Long? = null,
-    val lastProblem: Problem? = null,
-    val dispatched: Boolean = false,
+    val mayHaveRun: Boolean = false,
 )
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionAdmission.kt
@@ -0,0 +1,57 @@
+package org.bulrushtack.core.request
+
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.server.BackendServer
+import org.bulrushtack.core.server.BackendServerDirectory
+import org.bulrushtack.core.settings.SettingsPath
+import org.bulrushtack.core.settings.SettingsSchema
+
+/** Says at once which completions can't be taken. */
+internal class CompletionAdmission(
+    private val blackboard: Blackboard,
+    private val directory: BackendServerDirectory,
+) {
+    /** Why [request] is refused, or null. */
+    fun refusal(request: CompletionRequest, nowMillis: Long): Problem? {
+        val engines = directory.engines(request.model)
+        return when {
+            !blackboard.log.configured -> Problem(kind = ErrorKind.NOT_READY)
+            engines.isEmpty() -> Problem(kind = ErrorKind.UNKNOWN_MODEL, detail = "The model is '${request.model}'.")
+            isWorkspaceFull(request.workspace) -> Problem(kind = ErrorKind.WORKSPACE_LIMIT)
+            else -> lengthProblem(request, engines) ?: deadlineProblem(request, engines, nowMillis)
+        }
+    }
+
+    private fun isWorkspaceFull(workspace: String): Boolean {
+        val path = SettingsPath.ROOT.child(SettingsSchema.WORKSPACES).descend(workspace)
+        val limit = blackboard.log.folder.tree.number(path, SettingsSchema.MAX_RUNNING)
+        return (blackboard.requests.byWorkspace[workspace] ?: 0) >= limit
+    }
+
+    /** It is too long only when the memory of every engine is known and none is large enough. */
+    private fun lengthProblem(request: CompletionRequest, engines: List<BackendServer>): Problem? {
+        val capacities = engines.mapNotNull { directory.capacityTokens(it.name) }
+        val fitsSomewhere = capacities.size < engines.size || capacities.any { request.reservedTokens <= it }
+        if (fitsSomewhere) return null
+        return Problem(
+            kind = ErrorKind.PROMPT_TOO_LONG,
+            detail = "It needs ${request.reservedTokens} tokens; the largest engine has ${capacities.max()}.",
+        )
+    }
+
+    private fun deadlineProblem(
+        request: CompletionRequest,
+        engines: List<BackendServer>,
+        nowMillis: Long,
+    ): Problem? {
+        val fastest = engines.minOf { it.settings.expectedMillis(request.promptTokens, request.maximumTokens) }
+        val leftMillis = request.deadlineAtMillis - nowMillis
+        if (fastest <= leftMillis) return null
+        return Problem(
+            kind = ErrorKind.CANNOT_FINISH,
+            detail = "It is expected to take $fastest ms and has $leftMillis ms.",
+        )
+    }
+}
--- a/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
@@ -10,4 +10,42 @@
 
     /** Active completions by workspace. */
     public val byWorkspace: MutableMap<String, Int> = HashMap()
+
+    internal fun add(request: CompletionRequest): ActiveRequest {
+        byWorkspace.merge(request.workspace, 1, Int::plus)
+        return put(ActiveRequest(request = request))
+    }
+
+    internal fun send(active: ActiveRequest, server: String, owner: String): ActiveRequest {
+        underWay.merge(server, 1, Int::plus)
+        return put(active.copy(attempt = active.attempt + 1, server = server, owner = owner, retryAtMillis = null))
+    }
+
+    internal fun attemptEnded(active: ActiveRequest, mayHaveRun: Boolean): ActiveRequest {
+        release(active)
+        return put(
+            active.copy(
+                server = null,
+                owner = null,
+                failedServers = active.failedServers + listOfNotNull(active.server),
+                mayHaveRun = active.mayHaveRun || mayHaveRun,
+            ),
+        )
+    }
+
+    internal fun remove(id: String) {
+        val ended = active.remove(id) ?: return
+        release(ended)
+        byWorkspace.computeIfPresent(ended.request.workspace) { _, count -> (count - 1).takeIf { it > 0 } }
+    }
+
+    private fun put(request: ActiveRequest): ActiveRequest {
+        active[request.request.id] = request
+        return request
+    }
+
+    private fun release(request: ActiveRequest) {
+        val server = request.server ?: return
+        underWay.computeIfPresent(server) { _, count -> (count - 1).takeIf { it > 0 } }
+    }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/server/OwnerDirectory.kt
@@ -0,0 +1,38 @@
+package org.bulrushtack.core.server
+
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.ownership.RendezvousHash
+
+/** Says which daemon owns or should own a backend server, and where it takes work. */
+public class OwnerDirectory(
+    private val blackboard: Blackboard,
+) {
+    /** The daemon that should own [server]: one of its data centre while one lives there, by rendezvous hash. */
+    public fun bestOwner(server: BackendServer, nowMillis: Long): String? {
+        val self = blackboard.identity.name
+        val staying = blackboard.members.stayingMembers(nowMillis)
+        val candidates = if (blackboard.members.leaving) staying else staying + self
+        val near = candidates.filter { dataCentreOf(it) == server.vm.dataCentre }
+        return RendezvousHash.choose(key = server.name, candidates = near.ifEmpty { candidates })
+    }
+
+    /** The daemon that takes work for [server] now: the recorded owner while it lives, else its expected successor. */
+    public fun currentOwner(server: BackendServer, nowMillis: Long): String? {
+        val recorded = blackboard.log.folder.owners.find(server.name)?.owner
+        if (recorded != null && isLive(name = recorded, nowMillis = nowMillis)) return recorded
+        return bestOwner(server = server, nowMillis = nowMillis)
+    }
+
+    /** Where the daemon [name] takes work from its peers; empty for this daemon. */
+    public fun addressOf(name: String): String =
+        if (name == blackboard.identity.name) "" else blackboard.members.vms[name]?.peerAddress.orEmpty()
+
+    /** Whether the daemon [name] was heard within the lease; this daemon always is. */
+    public fun isLive(name: String, nowMillis: Long): Boolean =
+        name == blackboard.identity.name || blackboard.members.isLive(name = name, nowMillis = nowMillis)
+
+    private fun dataCentreOf(daemon: String): String? = when (daemon) {
+        blackboard.identity.name -> blackboard.identity.dataCentre
+        else -> blackboard.members.vms[daemon]?.dataCentre
+    }
+}
--- a/core/src/main/kotlin/org/bulrushtack/core/server/RandomPairServerChoice.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/server/RandomPairServerChoice.kt
@@ -1,7 +1,6 @@
 package org.bulrushtack.core.server
 
 import org.bulrushtack.core.control.Blackboard
-import org.bulrushtack.core.dispatch.Ledger
 import kotlin.random.Random
 
 /**
@@ -24,9 +23,9 @@
     }
 
     private fun isOpen(server: BackendServer, need: ServerNeed, nowMillis: Long): Boolean {
-        val capacity = capacityTokens(server)
+        val capacity = directory.capacityTokens(server.name)
         val fits = capacity == null || need.reservedTokens <= capacity
-        return fits && directory.acceptsNewWork(server) && directory.currentOwner(server, nowMillis) != null
+        return fits && directory.acceptsNewWork(server) && directory.owners.currentOwner(server, nowMillis) != null
     }
 
     private fun score(server: BackendServer, need: ServerNeed): Double {
@@ -41,12 +40,6 @@
         val busy = maxOf(running, underWay).toDouble() / server.settings.warmConcurrency
         return busy + queued / QUEUE_SCALE_MILLIS + crowding + distance
     }
-
-    private fun capacityTokens(server: BackendServer): Long? {
-        val own: Ledger? = blackboard.ledgers.find(server.name)?.takeIf { it.listed }
-        val known = own?.capacityTokens ?: blackboard.members.loads[server.name]?.load?.capacityTokens
-        return known?.takeIf { it > 0 }
-    }
 }
 
 private const val MEMORY_PENALTY = 2.0
--- a/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsPath.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsPath.kt
@@ -35,11 +35,11 @@
             val segments = text.trim('/').split('/').filter { it.isNotEmpty() }
             val wrong = segments.firstOrNull { !SEGMENT.matches(it) }
             if (wrong != null) {
-                return "'$wrong' is not a name: use lower-case letters, digits, '-' and '.'".left()
+                return "'$wrong' is not a name: use lower-case letters, digits and '-'".left()
             }
             return SettingsPath(segments = segments).right()
         }
     }
 }
 
-private val SEGMENT = Regex("[a-z0-9][a-z0-9.-]{0,62}")
+private val SEGMENT = Regex("[a-z0-9][a-z0-9-]{0,62}")
--- a/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsSchema.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsSchema.kt
@@ -165,7 +165,8 @@
         return when {
             top != null && top !in topBranches -> "unknown branch '$top'"
             path.segments.size > MAXIMUM_DEPTH -> "the path is deeper than $MAXIMUM_DEPTH branches"
-            specification.secret && path.segments.size < NAMED_BRANCH_DEPTH -> "'${specification.key}' can't be inherited"
+            specification.secret && path.segments.size < NAMED_BRANCH_DEPTH ->
+                "'${specification.key}' can't be inherited"
             top != null && top !in specification.branches -> "'${specification.key}' has no meaning below '$top'"
             else -> null
         }
--- a/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsTree.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/settings/SettingsTree.kt
@@ -28,11 +28,6 @@
     /** The value in force as a list. */
     public fun list(path: SettingsPath, key: String): List<String> = SettingType.splitList(resolve(path, key).value)
 
-    /** Whether [path] or a branch below it holds a value. */
-    public fun exists(path: SettingsPath): Boolean = values.any { (address, value) ->
-        value.value != null && address.path.segments.take(path.segments.size) == path.segments
-    }
-
     /** The names of the branches directly below [path], in order. */
     public fun children(path: SettingsPath): List<String> = values
         .filter { (address, value) -> value.value != null && isBelow(address.path, path) }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
@@ -5,6 +5,7 @@
 import org.bulrushtack.core.control.ControlLoop
 import org.bulrushtack.core.control.Event
 import org.bulrushtack.daemon.PartLog
+import org.bulrushtack.daemon.life.DaemonThreadFactory
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executors
 import java.util.concurrent.RejectedExecutionException
@@ -17,9 +18,7 @@
     private val clock: MonotonicClock,
 ) {
     private val log = PartLog(part = "control")
-    private val executor = Executors.newSingleThreadScheduledExecutor { task ->
-        Thread(task, "control").also { it.isDaemon = true }
-    }
+    private val executor = Executors.newSingleThreadScheduledExecutor(DaemonThreadFactory(name = "control"))
 
     /** What the controllers ask for goes here, on the control thread. */
     var onAction: (Action) -> Unit = {}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionBody.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionBody.kt
@@ -13,7 +13,7 @@
  *
  * @property deadlineSeconds the caller's deadline, or null for the workspace's
  */
-internal class CompletionBody(
+internal data class CompletionBody(
     val model: String,
     val prompt: ByteArray,
     val maximumTokens: Long,
@@ -64,6 +64,8 @@
 }
 
 private const val BYTES_PER_TOKEN = 4
+private const val MAXIMUM_ANSWER_TOKENS = 100_000L
+private const val MAXIMUM_DEADLINE_SECONDS = 3_600L
 private const val DEFAULT_MAXIMUM_TOKENS = 256L
-private val MAXIMUM_TOKENS_RANGE = 1L..100_000L
-private val DEADLINE_RANGE = 1L..3_600L
+private val MAXIMUM_TOKENS_RANGE = 1L..MAXIMUM_ANSWER_TOKENS
+private val DEADLINE_RANGE = 1L..MAXIMUM_DEADLINE_SECONDS
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionResource.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionResource.kt
@@ -53,7 +53,7 @@
             prompt = body.prompt,
             writer = writer,
             clock = clock,
-            observer = edge,
+            observer = edge.observer,
         )
         exchange.onClosed { session.abandon() }
         edge.take(session)
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/ServiceResource.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/ServiceResource.kt
@@ -39,12 +39,14 @@
     ): Either<Problem, ServiceCall> {
         val names = request.path.removePrefix(PATH).split('/')
         if (names.size != 2 || names.any { !NAME.matches(it) }) return Problem(ErrorKind.UNKNOWN_PATH).left()
-        val header = request.headers.find("idempotency-key")
-        val key = header?.let { IdempotencyKey.parse(it) }
-        return when (key) {
-            is Either.Left -> Problem(key.value).left()
-            else -> call(request = request, requestId = requestId, workspace = workspace, key = key?.getOrNull()).right()
-        }
+        return key(request)
+            .map { call(request = request, requestId = requestId, workspace = workspace, key = it) }
+            .mapLeft { Problem(it) }
+    }
+
+    private fun key(request: HttpMessageRequest): Either<ErrorKind, IdempotencyKey?> {
+        val header = request.headers.find("idempotency-key") ?: return null.right()
+        return IdempotencyKey.parse(header)
     }
 
     private fun call(
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
@@ -39,7 +39,7 @@
     private val log = PartLog(part = "daemon")
     private val clock = SystemMonotonicClock()
     private val group = EventLoops.create(settings.networkThreads)
-    private val timer = Executors.newScheduledThreadPool(1) { task -> Thread(task, "timer").also { it.isDaemon = true } }
+    private val timer = Executors.newScheduledThreadPool(1, DaemonThreadFactory(name = "timer"))
     private val client = HttpClient(group)
     private val blackboard = Blackboard(identity = identity)
     private val control = ControlThread(
@@ -59,21 +59,25 @@
         inspector = HttpServerInspector(client),
     )
     private val remote = RemoteOwner(connections = connections, timer = timer)
-    private val completions = CompletionEdge(
-        control = control,
-        runner = runner,
-        remote = remote,
-        clock = clock,
-        metrics = metrics,
-    )
-    private val calls = CallEdge(
-        control = control,
+    private val edges = DaemonEdges(
+        peers = PeerLink(connections = connections, control = control, clock = clock),
         runner = runner,
-        remote = remote,
-        clock = clock,
-        metrics = metrics,
+        completions = CompletionEdge(
+            control = control,
+            runner = runner,
+            remote = remote,
+            clock = clock,
+            metrics = metrics,
+        ),
+        calls = CallEdge(
+            control = control,
+            runner = runner,
+            remote = remote,
+            clock = clock,
+            metrics = metrics,
+        ),
+        editor = TreeEditor(control = control, clock = clock, timer = timer),
     )
-    private val editor = TreeEditor(control = control, clock = clock, timer = timer)
     private lateinit var httpServer: HttpServer
     private lateinit var peerServer: Server
 
@@ -85,18 +89,10 @@
 
     /** Opens the ports and starts following the log. */
     fun start() {
-        val executor = ActionExecutor(
-            control = control,
-            platformLog = platformLog,
-            peers = PeerLink(connections = connections, control = control, clock = clock),
-            runner = runner,
-            completions = completions,
-            calls = calls,
-            editor = editor,
-        )
+        val executor = ActionExecutor(control = control, platformLog = platformLog, edges = edges)
         control.onAction = executor::execute
         openPorts()
-        completions.start(timer)
+        edges.completions.start(timer)
         control.start()
         LogFollower(platformLog = platformLog, control = control, clock = clock, timer = timer).start()
         VmPoller(
@@ -131,9 +127,7 @@
             control = control,
             clock = clock,
             metrics = metrics,
-            completions = completions,
-            calls = calls,
-            editor = editor,
+            edges = edges,
         )
         httpServer = HttpServer.start(
             group = group,
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/DaemonThreadFactory.kt
@@ -0,0 +1,10 @@
+package org.bulrushtack.daemon.life
+
+import java.util.concurrent.ThreadFactory
+
+/** Makes threads that don't keep the process alive. */
+internal class DaemonThreadFactory(
+    private val name: String,
+) : ThreadFactory {
+    override fun newThread(task: Runnable): Thread = Thread(task, name).also { it.isDaemon = true }
+}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/RouteTable.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/RouteTable.kt
@@ -12,11 +12,8 @@
 import org.bulrushtack.daemon.front.ServiceResource
 import org.bulrushtack.daemon.front.WallClock
 import org.bulrushtack.daemon.operator.StatusResource
-import org.bulrushtack.daemon.operator.TreeEditor
 import org.bulrushtack.daemon.operator.TreeResource
 import org.bulrushtack.daemon.settings.ProcessSettings
-import org.bulrushtack.daemon.taking.CallEdge
-import org.bulrushtack.daemon.taking.CompletionEdge
 import java.security.SecureRandom
 
 /** All paths of the daemon's HTTP interface. */
@@ -25,9 +22,7 @@
     private val control: ControlThread,
     private val clock: MonotonicClock,
     private val metrics: DaemonMetrics,
-    private val completions: CompletionEdge,
-    private val calls: CallEdge,
-    private val editor: TreeEditor,
+    private val edges: DaemonEdges,
 ) {
     private val wallClock = WallClock { System.currentTimeMillis() }
     private val gate = CallerGate(
@@ -41,13 +36,13 @@
 
     private fun callerRoutes(): List<Route> {
         val entry = EntryResource(control = control, wallClock = wallClock, random = SecureRandom())
-        val completion = CompletionResource(gate = gate, control = control, clock = clock, edge = completions)
+        val completion = CompletionResource(gate = gate, control = control, clock = clock, edge = edges.completions)
         val service = ServiceResource(
             gate = gate,
             control = control,
             clock = clock,
             wallClock = wallClock,
-            edge = calls,
+            edge = edges.calls,
         )
         return listOf(
             Route(method = "GET", path = "/v1/entry", resource = entry),
@@ -57,7 +52,7 @@
     }
 
     private fun operatorRoutes(): List<Route> {
-        val tree = TreeResource(gate = gate, control = control, editor = editor)
+        val tree = TreeResource(gate = gate, control = control, editor = edges.editor)
         val status = StatusResource(gate = gate, control = control)
         return listOf(
             Route(method = "GET", path = "/v1/operator/tree", resource = tree::show),
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/operator/TreeEditor.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/operator/TreeEditor.kt
@@ -35,11 +35,13 @@
 
     /** Checks the changes of [request] against types, ranges and [tree]. */
     fun check(request: TreeEditRequest, tree: SettingsTree): Either<Problem, List<SettingChange>> {
-        if (request.changes.isEmpty()) return Problem(ErrorKind.EDIT_INVALID, "There is no change in it.").left()
         val checked = request.changes.map { check(change = it, tree = tree) }
         val faults = checked.mapNotNull { it.leftOrNull() }
-        if (faults.isNotEmpty()) return Problem(ErrorKind.EDIT_INVALID, faults.joinToString("; ")).left()
-        return checked.mapNotNull { it.getOrNull() }.right()
+        return when {
+            checked.isEmpty() -> Problem(ErrorKind.EDIT_INVALID, "There is no change in it.").left()
+            faults.isNotEmpty() -> Problem(ErrorKind.EDIT_INVALID, faults.joinToString("; ")).left()
+            else -> checked.mapNotNull { it.getOrNull() }.right()
+        }
     }
 
     /** Appends an edit; the answer comes when it is in force everywhere, or says which daemons are behind. */
@@ -58,8 +60,8 @@
 
     /** An edit was folded. */
     fun folded(action: Action.EditFolded) {
-        val offset = action.folded.entry.offset
-        val outcome = action.folded.outcome
+        val offset = action.offset
+        val outcome = action.outcome
         log.info { "edit=${action.editId} offset=$offset outcome=${outcome::class.simpleName}." }
         val result: Either<Problem, Long> = when (outcome) {
             is FoldOutcome.Rejected ->
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/AttemptOrder.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/AttemptOrder.kt
@@ -3,7 +3,7 @@
 import org.bulrushtack.core.dispatch.WorkId
 
 /** One attempt of a completion, as the owner of its backend server takes it. */
-class AttemptOrder(
+data class AttemptOrder(
     val id: WorkId,
     val server: String,
     val workspace: String,
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/CallOrder.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/CallOrder.kt
@@ -3,7 +3,7 @@
 import org.bulrushtack.core.dispatch.WorkId
 
 /** One dispatch of a service call, as the owner of its backend server takes it. */
-class CallOrder(
+data class CallOrder(
     val id: WorkId,
     val server: String,
     val workspace: String,
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerService.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerService.kt
@@ -71,7 +71,8 @@
         val log = blackboard.log
         val wanted = log.recent.filter { it.offset >= request.fromOffset }.take(request.limit)
         val folder = log.folder
-        if (folder.appliedOffset < request.fromOffset || wanted.firstOrNull()?.offset == request.fromOffset) return wanted
+        val coversAll = wanted.firstOrNull()?.offset == request.fromOffset
+        if (folder.appliedOffset < request.fromOffset || coversAll) return wanted
         val snapshot = Snapshot(
             id = "state/${blackboard.identity.name}/${folder.appliedOffset}",
             throughOffset = folder.appliedOffset,
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReader.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReader.kt
@@ -68,7 +68,7 @@
         }
 
         fun name(key: ProcessSettingsKey): String = checked(key) {
-            if (NAME_FORM.matches(it)) null else "'$it' is not a name of lower-case letters, digits, '-' and '.'"
+            if (NAME_FORM.matches(it)) null else "'$it' is not a name of lower-case letters, digits and '-'"
         }
 
         fun choice(key: ProcessSettingsKey, choices: List<String>): String = checked(key) {
@@ -117,11 +117,17 @@
 private const val MILLIS_PER_SECOND = 1_000L
 private const val HIGHEST_PORT = 65_535
 private val LOG_LEVELS = listOf("trace", "debug", "info", "warn", "error")
-private val NAME_FORM = Regex("[a-z0-9][a-z0-9.-]{0,62}")
+private val NAME_FORM = Regex("[a-z0-9][a-z0-9-]{0,62}")
 private val HASH_FORM = Regex("[0-9a-f]{64}")
 private val PLACE_FORM = Regex("[0-9a-fA-F.:\\[\\]]+:[0-9]{1,5}")
-private val BODY_RANGE = 1_024L..67_108_864L
-private val HEADER_RANGE = 1_024L..1_048_576L
-private val REQUEST_RANGE = 1L..600L
-private val DRAIN_RANGE = 0L..3_600L
-private val THREAD_RANGE = 1L..64L
+private const val SMALLEST_BYTES = 1_024L
+private const val LARGEST_BODY_BYTES = 67_108_864L
+private const val LARGEST_HEADER_BYTES = 1_048_576L
+private const val LONGEST_REQUEST_SECONDS = 600L
+private const val LONGEST_DRAIN_SECONDS = 3_600L
+private const val MOST_THREADS = 64L
+private val BODY_RANGE = SMALLEST_BYTES..LARGEST_BODY_BYTES
+private val HEADER_RANGE = SMALLEST_BYTES..LARGEST_HEADER_BYTES
+private val REQUEST_RANGE = 1L..LONGEST_REQUEST_SECONDS
+private val DRAIN_RANGE = 0L..LONGEST_DRAIN_SECONDS
+private val THREAD_RANGE = 1L..MOST_THREADS
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionEdge.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionEdge.kt
@@ -3,8 +3,6 @@
 import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.control.Event
 import org.bulrushtack.core.dispatch.WorkId
-import org.bulrushtack.core.error.Problem
-import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
 import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.daemon.life.DaemonMetrics
@@ -21,11 +19,18 @@
     private val runner: WorkRunner,
     private val remote: RemoteOwner,
     private val clock: MonotonicClock,
-    private val metrics: DaemonMetrics,
-) : SessionObserver {
-    private val log = PartLog(part = "request")
+    metrics: DaemonMetrics,
+) {
     private val sessions = ConcurrentHashMap<String, CompletionSession>()
 
+    /** Hears how the sessions of this edge go. */
+    val observer: SessionObserver = CompletionReporter(
+        control = control,
+        clock = clock,
+        metrics = metrics,
+        onEnded = { sessions.remove(it.request.id) },
+    )
+
     /** Starts looking for silent engines. */
     fun start(timer: ScheduledExecutorService) {
         timer.scheduleWithFixedDelay({ checkStalls() }, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
@@ -66,51 +71,6 @@
         sessions.remove(action.requestId)?.fail(action.problem)
     }
 
-    override fun firstToken(session: CompletionSession) =
-        metrics.firstToken(
-            promptTokens = session.request.promptTokens,
-            millis = clock.nowMillis() - session.request.receivedAtMillis,
-        )
-
-    override fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem) {
-        log.info { "request=${session.request.id} attempt=$attempt failed: ${problem.kind.code}. ${problem.detail}" }
-        metrics.attemptFailed(problem.kind)
-        control.post(
-            Event.AttemptFailed(
-                requestId = session.request.id,
-                attempt = attempt,
-                problem = problem,
-                tokensReceived = session.tokensReceived,
-            ),
-        )
-    }
-
-    override fun finished(session: CompletionSession) {
-        metrics.completionAnswered(tokens = session.tokensReceived)
-        ended(session = session, outcome = "answered")
-    }
-
-    override fun failed(session: CompletionSession, problem: Problem) {
-        metrics.refused(problem.kind)
-        ended(session = session, outcome = problem.kind.code)
-    }
-
-    override fun abandoned(session: CompletionSession) {
-        metrics.completionAbandoned()
-        ended(session = session, outcome = "abandoned")
-    }
-
-    private fun ended(session: CompletionSession, outcome: String) {
-        val request = session.request
-        sessions.remove(request.id)
-        val millis = clock.nowMillis() - request.receivedAtMillis
-        log.info {
-            "request=${request.id} workspace=${request.workspace} prompt=${request.promptTokens} " +
-                "tokens=${session.tokensReceived} millis=$millis outcome=$outcome."
-        }
-        control.post(Event.RequestEnded(request.id))
-    }
-
     private fun checkStalls() = sessions.values.forEach { session ->
         val prefillMillis = session.request.promptTokens / SLOWEST_PREFILL_TOKENS_PER_MILLI
         session.checkStall(firstTokenLimitMillis = FIRST_TOKEN_LIMIT_MILLIS + prefillMillis)
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
@@ -17,33 +17,26 @@
     private val clock: MonotonicClock,
     private val observer: SessionObserver,
 ) {
-    /** Tokens of the answer that were handed to the writer. */
-    var tokensReceived: Long = 0
-        private set
-
-    private var attempt = 0
-    private var ended = false
+    private val progress = AnswerProgress()
     private var breakOff: () -> Unit = {}
-    private var startedAtMillis: Long? = null
-    private var lastFrameAtMillis: Long? = null
 
-    /** Begins attempt number [number] and gives the sink for its frames; an earlier attempt is broken off. */
-    @Synchronized
+    /** Tokens of the answer that were handed to the writer. */
+    val tokensReceived: Long get() = synchronized(this) { progress.tokensReceived }
+
+    /** Begins attempt [number] and gives the sink for its frames; an earlier attempt is broken off. */
     fun begin(number: Int): FrameSink {
-        breakOff()
-        breakOff = {}
-        attempt = number
-        startedAtMillis = null
-        lastFrameAtMillis = null
-        return AttemptSink(session = this, number = number)
+        val earlier = synchronized(this) {
+            progress.begin(number)
+            takeBreakOff()
+        }
+        earlier()
+        return AttemptSink(number = number)
     }
 
     /** Notes how attempt [number] is broken off. */
     fun onBreakOff(number: Int, action: () -> Unit) {
-        val tooLate = synchronized(this) {
-            if (!isCurrent(number)) true else false.also { breakOff = action }
-        }
-        if (tooLate) action()
+        val isCurrent = synchronized(this) { progress.isCurrent(number).also { if (it) breakOff = action } }
+        if (!isCurrent) action()
     }
 
     /** Ends the answer with a problem, unless it has ended. */
@@ -58,45 +51,31 @@
         if (end()) observer.abandoned(this)
     }
 
-    /** Gives the attempt up when its engine has been silent for too long; says whether it did. */
-    fun checkStall(firstTokenLimitMillis: Long): Boolean {
-        val number = synchronized(this) { attempt.takeIf { isStalled(firstTokenLimitMillis) } } ?: return false
-        attemptFailed(number, Problem(kind = ErrorKind.BACKEND_LOST, detail = "The engine is silent."))
-        return true
-    }
-
-    private fun isStalled(firstTokenLimitMillis: Long): Boolean {
-        val started = startedAtMillis
-        if (ended || started == null || !writer.isReady) return false
-        val lastFrame = lastFrameAtMillis
-        val now = clock.nowMillis()
-        return if (lastFrame == null) now - started > firstTokenLimitMillis else now - lastFrame > FRAME_LIMIT_MILLIS
-    }
-
-    private fun started(number: Int) = synchronized(this) {
-        if (isCurrent(number)) startedAtMillis = clock.nowMillis()
+    /** Gives the attempt up when its engine has been silent for too long while the caller takes more. */
+    fun checkStall(firstTokenLimitMillis: Long) {
+        val stalled = synchronized(this) {
+            if (!writer.isReady) progress.held(clock.nowMillis())
+            progress.attempt.takeIf { progress.isStalled(clock.nowMillis(), firstTokenLimitMillis) }
+        }
+        stalled?.let { attemptFailed(it, Problem(kind = ErrorKind.BACKEND_LOST, detail = "The engine is silent.")) }
     }
 
     private fun chunk(number: Int, offset: Long, tokens: Long, text: String) {
-        val accepted = synchronized(this) {
-            when {
-                !isCurrent(number) || offset + tokens <= tokensReceived -> true
-                offset != tokensReceived -> false
-                else -> true.also { accept(offset = offset, tokens = tokens, text = text) }
+        val misfit = synchronized(this) {
+            val verdict = progress.verdict(offset = offset, tokens = tokens)
+            val isCurrent = progress.isCurrent(number)
+            if (isCurrent && verdict == AnswerProgress.Verdict.NEXT) {
+                if (progress.tokensReceived == 0L) observer.firstToken(this)
+                progress.add(tokens = tokens, nowMillis = clock.nowMillis())
+                writer.chunk(offset = offset, tokens = tokens, text = text)
             }
+            isCurrent && verdict == AnswerProgress.Verdict.MISFIT
         }
-        if (!accepted) attemptFailed(number, Problem(kind = ErrorKind.BACKEND_LOST, detail = "Tokens are missing."))
-    }
-
-    private fun accept(offset: Long, tokens: Long, text: String) {
-        if (tokensReceived == 0L) observer.firstToken(this)
-        tokensReceived += tokens
-        lastFrameAtMillis = clock.nowMillis()
-        writer.chunk(offset = offset, tokens = tokens, text = text)
+        if (misfit) attemptFailed(number, Problem(kind = ErrorKind.BACKEND_LOST, detail = "Tokens are missing."))
     }
 
     private fun finished(number: Int, totalTokens: Long, reason: String) {
-        if (!synchronized(this) { isCurrent(number) }) return
+        if (!synchronized(this) { progress.isCurrent(number) }) return
         if (totalTokens != tokensReceived) {
             attemptFailed(number, Problem(kind = ErrorKind.BACKEND_LOST, detail = "The end of the answer is missing."))
         } else if (end()) {
@@ -107,9 +86,9 @@
 
     private fun attemptFailed(number: Int, problem: Problem) {
         val action = synchronized(this) {
-            if (!isCurrent(number)) return
-            startedAtMillis = null
-            breakOff.also { breakOff = {} }
+            if (!progress.isCurrent(number)) return
+            progress.stopped()
+            takeBreakOff()
         }
         action()
         observer.attemptFailed(session = this, attempt = number, problem = problem)
@@ -117,34 +96,33 @@
 
     private fun end(): Boolean {
         val action = synchronized(this) {
-            if (ended) return false
-            ended = true
-            breakOff.also { breakOff = {} }
+            if (progress.ended) return false
+            progress.ended = true
+            takeBreakOff()
         }
         action()
         return true
     }
 
-    private fun isCurrent(number: Int): Boolean = !ended && number == attempt
+    private fun takeBreakOff(): () -> Unit = breakOff.also { breakOff = {} }
 
-    private class AttemptSink(
-        private val session: CompletionSession,
+    private inner class AttemptSink(
         private val number: Int,
     ) : FrameSink {
-        override val isReady: Boolean get() = session.writer.isReady
+        override val isReady: Boolean get() = writer.isReady
 
-        override fun onReady(listener: () -> Unit) = session.writer.onReady(listener)
+        override fun onReady(listener: () -> Unit) = writer.onReady(listener)
 
-        override fun started() = session.started(number)
+        override fun started() = synchronized(this@CompletionSession) {
+            if (progress.isCurrent(number)) progress.started(clock.nowMillis())
+        }
 
         override fun chunk(offset: Long, tokens: Long, text: String) =
-            session.chunk(number = number, offset = offset, tokens = tokens, text = text)
+            this@CompletionSession.chunk(number = number, offset = offset, tokens = tokens, text = text)
 
         override fun finished(totalTokens: Long, reason: String) =
-            session.finished(number = number, totalTokens = totalTokens, reason = reason)
+            this@CompletionSession.finished(number = number, totalTokens = totalTokens, reason = reason)
 
-        override fun failed(problem: Problem) = session.attemptFailed(number, problem)
+        override fun failed(problem: Problem) = attemptFailed(number, problem)
     }
 }
-
-private const val FRAME_LIMIT_MILLIS = 5_000L
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -1,18 +1,13 @@
 package org.bulrushtack.http
 
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import java.util.concurrent.atomic.AtomicBoolean
 
@@ -36,18 +31,14 @@
             return
         }
         connected.pipeline().addLast(this)
-        connected.writeAndFlush(message())
+        connected.writeAndFlush(ClientMessage.of(request))
     }
 
-    fun failUnsent(reason: String) = fail(sent = false, reason = reason)
+    override fun cancel() = breakOff(reason = "cancelled")
 
-    fun timeOut() {
-        fail(sent = channel != null, reason = "timed out")
-        channel?.close()
-    }
-
-    override fun cancel() {
-        fail(sent = channel != null, reason = "cancelled")
+    /** Ends the exchange from this side; nothing was sent unless there is a connection. */
+    fun breakOff(reason: String) {
+        fail(sent = channel != null, reason = reason)
         channel?.close()
     }
 
@@ -63,7 +54,10 @@
             return
         }
         if (message is HttpResponse) readHead(message)
-        if (message is HttpContent) readBody(context = context, content = message)
+        if (message is HttpContent && message.content().isReadable) {
+            listener.onData(ByteBufUtil.getBytes(message.content()))
+        }
+        if (message is LastHttpContent) complete(context)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -83,11 +77,6 @@
         listener.onHead(status = response.status().code(), headers = HttpHeaderList(entries = headers))
     }
 
-    private fun readBody(context: ChannelHandlerContext, content: HttpContent) {
-        if (content.content().isReadable) listener.onData(ByteBufUtil.getBytes(content.content()))
-        if (content is LastHttpContent) complete(context)
-    }
-
     private fun complete(context: ChannelHandlerContext) {
         if (!ended.compareAndSet(false, true)) return
         context.pipeline().remove(this)
@@ -98,18 +87,4 @@
     private fun fail(sent: Boolean, reason: String) {
         if (ended.compareAndSet(false, true)) listener.onFailure(HttpFailure(sent = sent, reason = reason))
     }
-
-    private fun message(): DefaultFullHttpRequest {
-        val message = DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            HttpMethod.valueOf(request.method),
-            request.path,
-            Unpooled.wrappedBuffer(request.body),
-        )
-        message.headers().set(HttpHeaderNames.HOST, request.address)
-        if (request.body.isNotEmpty()) message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType)
-        HttpUtil.setContentLength(message, request.body.size.toLong())
-        request.headers.entries.forEach { message.headers().add(it.name, it.value) }
-        return message
-    }
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientRequest.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientRequest.kt
@@ -7,7 +7,7 @@
  * @property fresh whether to open a connection of its own, so that a failure to connect proves that nothing was sent
  * @property timeoutMillis the longest time to the end of the answer, or null for none
  */
-public class ClientRequest(
+public data class ClientRequest(
     public val method: String,
     public val address: String,
     public val path: String,
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -31,13 +31,13 @@
         if (kept == null) {
             connect(request.address).addListener { future ->
                 val channel = (future as ChannelFuture).channel()
-                if (future.isSuccess) call.start(channel) else call.failUnsent(future.cause().toString())
+                if (future.isSuccess) call.start(channel) else call.breakOff(future.cause().toString())
             }
         } else {
             kept.eventLoop().execute { call.start(kept) }
         }
         request.timeoutMillis?.let { millis ->
-            group.next().schedule({ call.timeOut() }, millis, TimeUnit.MILLISECONDS)
+            group.next().schedule({ call.breakOff(reason = "timed out") }, millis, TimeUnit.MILLISECONDS)
         }
         return call
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpLimits.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpLimits.kt
@@ -9,8 +9,11 @@
  * @property idleMillis the longest time between requests of one connection
  */
 public data class HttpLimits(
-    val bodyBytes: Int = 8 * 1024 * 1024,
-    val headerBytes: Int = 16 * 1024,
+    val bodyBytes: Int = DEFAULT_BODY_BYTES,
+    val headerBytes: Int = DEFAULT_HEADER_BYTES,
     val requestMillis: Long = 30_000,
     val idleMillis: Long = 120_000,
 )
+
+private const val DEFAULT_BODY_BYTES = 8_388_608
+private const val DEFAULT_HEADER_BYTES = 16_384
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpServerExpectContinueHandler
 import java.net.InetSocketAddress
 
 /** A listening HTTP/1.1 server. */
@@ -53,6 +54,7 @@
                 .setMaxHeaderSize(limits.headerBytes)
             channel.pipeline()
                 .addLast(HttpServerCodec(decoder))
+                .addLast(HttpServerExpectContinueHandler())
                 .addLast(ServerConnection(limits = limits, handler = handler))
         }
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.DefaultLastHttpContent
+import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -31,15 +32,7 @@
 
     override fun respond(response: HttpMessageResponse) {
         if (!answered.compareAndSet(false, true)) return
-        val message = DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(response.status),
-            Unpooled.wrappedBuffer(response.body),
-        )
-        fillHeaders(response = message, contentType = response.contentType, headers = response.headers)
-        HttpUtil.setContentLength(message, response.body.size.toLong())
-        HttpUtil.setKeepAlive(message, keepAlive)
-        finish(message)
+        finish(message(response = response, keepAlive = keepAlive))
     }
 
     override fun stream(status: Int, contentType: String, headers: HttpHeaderList): ResponseStream {
@@ -81,7 +74,20 @@
     }
 
     companion object {
-        fun fillHeaders(response: HttpResponse, contentType: String, headers: HttpHeaderList) {
+        /** A whole message for Netty's codec. */
+        fun message(response: HttpMessageResponse, keepAlive: Boolean): FullHttpResponse {
+            val message = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(response.status),
+                Unpooled.wrappedBuffer(response.body),
+            )
+            fillHeaders(response = message, contentType = response.contentType, headers = response.headers)
+            HttpUtil.setContentLength(message, response.body.size.toLong())
+            HttpUtil.setKeepAlive(message, keepAlive)
+            return message
+        }
+
+        private fun fillHeaders(response: HttpResponse, contentType: String, headers: HttpHeaderList) {
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
             headers.entries.forEach { response.headers().add(it.name, it.value) }
         }
--- a/program/src/main/kotlin/org/bulrushtack/program/ProgramLine.kt
+++ b/program/src/main/kotlin/org/bulrushtack/program/ProgramLine.kt
@@ -1,7 +1,6 @@
 package org.bulrushtack.program
 
 import kotlinx.cli.ArgParser
-import org.bulrushtack.program.ProgramCommand
 
 /** Reads a program's command line: the exit code is 0 for help and the version, and [EXIT_USAGE] for wrong use. */
 public object ProgramLine {
--- a/standin/src/main/kotlin/org/bulrushtack/standin/Main.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/Main.kt
@@ -8,6 +8,6 @@
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
     val parser = ArgParser(programName = "bulrushtack-standin")
-    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand())
+    parser.subcommands(PlatformCommand(), EngineCommand(), ServiceCommand(), EntryVmCommand())
     ProgramLine.run(parser = parser, arguments = arguments, program = StandIn::class.java)
 }
--- a/standin/src/main/kotlin/org/bulrushtack/standin/StandInCommand.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/StandInCommand.kt
@@ -3,9 +3,6 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.default
-import org.bulrushtack.http.ClientRequest
-import org.bulrushtack.http.EventLoops
-import org.bulrushtack.http.HttpClient
 import org.bulrushtack.program.ProgramCommand
 import java.util.concurrent.CountDownLatch
 
@@ -17,7 +14,8 @@
 ) : ProgramCommand(name, description) {
     private val host by option(ArgType.String, description = "IP number to listen on").default("127.0.0.1")
     private val port by option(ArgType.Int, description = "port of the service").default(0)
-    private val controlPort by option(ArgType.Int, fullName = "control-port", description = "port for faults").default(0)
+    private val controlPort by option(ArgType.Int, fullName = "control-port", description = "port for faults")
+        .default(0)
     private val vmName by option(ArgType.String, fullName = "name", description = "name in the VM list")
     private val dataCentre by option(ArgType.String, fullName = "data-centre", description = "data centre").default("a")
     private val platformControl by option(
@@ -31,28 +29,15 @@
 
     /** Puts the server into the VM list where that is asked for, says on which ports it listens, and stays. */
     protected fun announce(standIn: StandIn, kind: String, serves: String) {
-        platformControl?.let { register(address = it, standIn = standIn, kind = kind, serves = serves) }
+        val row = VmRow(
+            name = vmName ?: "$kind-${standIn.port}",
+            kind = kind,
+            dataCentre = dataCentre,
+            http = "$host:${standIn.port}",
+            serves = listOf(serves),
+        )
+        platformControl?.let { row.register(it) }
         println("ready port=${standIn.port} control=${standIn.controlPort}")
         CountDownLatch(1).await()
     }
-
-    private fun register(address: String, standIn: StandIn, kind: String, serves: String) {
-        val row = StandInServer.mapper.createObjectNode()
-            .put("name", vmName ?: "$kind-${standIn.port}")
-            .put("kind", kind)
-            .put("dataCentre", dataCentre)
-            .put("state", "live")
-            .put("http", "$host:${standIn.port}")
-        row.putArray("serves").add(serves)
-        val group = EventLoops.create(1)
-        HttpClient(group).exchange(
-            ClientRequest(
-                method = "POST",
-                address = address,
-                path = "/control/vms",
-                body = StandInServer.mapper.writeValueAsBytes(row),
-            ),
-        ).join()
-        group.shutdownGracefully()
-    }
 }
--- a/standin/src/main/kotlin/org/bulrushtack/standin/StandInServer.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/StandInServer.kt
@@ -21,7 +21,7 @@
     override fun handle(exchange: HttpExchange) {
         val request = exchange.request
         val route = routes.firstOrNull { it.matches(method = request.method, requested = request.path) }
-        if (route == null) exchange.respond(json(status = NOT_FOUND, value = emptyMap<String, String>())) else route.answer(exchange)
+        if (route == null) exchange.respond(HttpMessageResponse(status = NOT_FOUND)) else route.answer(exchange)
     }
 
     override fun answerFault(fault: HttpFault): HttpMessageResponse = HttpMessageResponse(status = BAD_REQUEST)
--- a/standin/src/main/kotlin/org/bulrushtack/standin/engine/EngineBatch.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/engine/EngineBatch.kt
@@ -70,12 +70,6 @@
         return true
     }
 
-    /** Notes an order with an old fencing number. */
-    @Synchronized
-    fun noteStaleOrder() {
-        stats = stats.copy(staleOrders = stats.staleOrders + 1)
-    }
-
     /** Does the work of one step. */
     @Synchronized
     fun step(nowMillis: Long) {
@@ -95,7 +89,9 @@
     private fun prefill(nowMillis: Long) {
         val rate = options.prefillTokensPerSecond / if (isCold(nowMillis)) COLD_SLOWDOWN else 1
         var budget = rate * options.stepMillis / MILLIS_PER_SECOND
-        val waiting = tasks.values.filter { it.toPrefill > 0 }.sortedWith(compareBy({ it.priority }, { it.arrivedAtMillis }))
+        val waiting = tasks.values
+            .filter { it.toPrefill > 0 }
+            .sortedWith(compareBy({ it.priority }, { it.arrivedAtMillis }))
         for (task in waiting) {
             val share = minOf(budget, task.toPrefill)
             task.prefilled += share
--- a/standin/src/main/kotlin/org/bulrushtack/standin/engine/EngineTask.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/engine/EngineTask.kt
@@ -1,29 +1,34 @@
 package org.bulrushtack.standin.engine
 
+import com.fasterxml.jackson.databind.JsonNode
 import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.ResponseStream
 import org.bulrushtack.standin.StandInServer
 import java.util.zip.CRC32
 
 /** One request that the engine holds. */
-internal class EngineTask(
-    val id: String,
-    val owner: String,
-    val ownerIncarnation: String,
+internal class EngineTask private constructor(
     val prompt: String,
     val promptTokens: Long,
-    val maximumTokens: Long,
-    resumeFrom: Long,
-    val priority: Int,
+    body: JsonNode,
+    headers: HttpHeaderList,
     val arrivedAtMillis: Long,
-    private val exchange: HttpExchange,
     private val stream: ResponseStream,
 ) {
+    val id: String = headers.find("x-request-id").orEmpty()
+    val owner: String = headers.find("x-owner").orEmpty()
+    val ownerIncarnation: String = headers.find("x-owner-incarnation").orEmpty()
+    val maximumTokens: Long = body["max_tokens"].asLong()
+    val priority: Int = body["priority"].asInt()
+
+    private val resumedTokens = body["resume_from"].asLong()
+
     /** Tokens of the prompt and of the resumed answer that were read. */
     var prefilled = 0L
 
     /** Tokens of the answer so far. */
-    var generated = resumeFrom
+    var generated = resumedTokens
         private set
 
     /** Whether the client went away. */
@@ -33,10 +38,6 @@
     private val checksum = CRC32().also { it.update(prompt.toByteArray()) }.value.toString(RADIX)
     private var earned = 0.0
 
-    init {
-        exchange.onClosed { clientGone = true }
-    }
-
     /** What has to be read before the next token. */
     val toPrefill: Long get() = promptTokens + resumedTokens - prefilled
 
@@ -46,8 +47,6 @@
     /** Memory that it holds. */
     val heldTokens: Long get() = prefilled + (generated - resumedTokens)
 
-    private val resumedTokens = resumeFrom
-
     /** Emits [tokens] more tokens, in part earned in earlier steps. */
     fun decode(tokens: Double) {
         earned += tokens
@@ -80,6 +79,24 @@
 
     /** Breaks the connection off. */
     fun abort() = stream.abort()
+
+    companion object {
+        /** The task for the request of [exchange]. */
+        fun of(exchange: HttpExchange, body: JsonNode, stream: ResponseStream, nowMillis: Long): EngineTask {
+            val prompt = body["prompt"].asText()
+            val task = EngineTask(
+                prompt = prompt,
+                promptTokens = (prompt.length + CHARACTERS_PER_TOKEN - 1L) / CHARACTERS_PER_TOKEN,
+                body = body,
+                headers = exchange.request.headers,
+                arrivedAtMillis = nowMillis,
+                stream = stream,
+            )
+            exchange.onClosed { task.clientGone = true }
+            return task
+        }
+    }
 }
 
 private const val RADIX = 16
+private const val CHARACTERS_PER_TOKEN = 4
--- a/standin/src/main/kotlin/org/bulrushtack/standin/platform/PlatformStandIn.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/platform/PlatformStandIn.kt
@@ -6,7 +6,7 @@
 import org.bulrushtack.standin.ListenOptions
 import org.bulrushtack.standin.StandIn
 import org.bulrushtack.standin.StandInServer
-import java.util.concurrent.Executors
+import org.bulrushtack.standin.StandInTimer
 import java.util.concurrent.TimeUnit
 
 /** Stands in for the platform: an append-only log, a lagging VM list and a rate-limited weight store. */
@@ -17,7 +17,7 @@
     private val vms = LaggingVmList(lagMillis = options.vmLagMillis)
     private val weights = WeightStore(bytesPerSecond = options.weightBytesPerSecond)
     private val rate = RateLimit(perSecond = options.appendsPerSecond)
-    private val timer = Executors.newScheduledThreadPool(1) { Thread(it, "platform").also { thread -> thread.isDaemon = true } }
+    private val timer = StandInTimer.create(name = "platform")
 
     @Volatile
     private var faults = PlatformFaults()
@@ -29,7 +29,7 @@
     private fun serviceRoutes(): StandInServer = StandInServer().apply {
         route("POST", "/log/records") { exchange -> unlessOut(exchange) { append(exchange) } }
         route("GET", "/log/records") { exchange -> unlessOut(exchange) { read(exchange) } }
-        route("GET", "/vms") { exchange -> exchange.respond(StandInServer.json(status = 200, value = vms.shown(now()))) }
+        route("GET", "/vms") { it.respond(StandInServer.json(status = 200, value = vms.shown(now()))) }
         route("GET", "/weights/") { exchange -> weigh(exchange) }
     }
 
--- a/standin/src/main/kotlin/org/bulrushtack/standin/platform/RecordLog.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/platform/RecordLog.kt
@@ -29,7 +29,8 @@
     /** The entries from [from] on, at most [limit]. */
     @Synchronized
     fun page(from: Long, limit: Int, nowMillis: Long): ObjectNode {
-        while (entries.isNotEmpty() && entries.first().appendedAtMillis < nowMillis - retentionMillis) entries.removeFirst()
+        val expiredMillis = nowMillis - retentionMillis
+        while (entries.isNotEmpty() && entries.first().appendedAtMillis < expiredMillis) entries.removeFirst()
         val earliest = entries.firstOrNull()?.offset ?: (tailOffset + 1)
         val start = maxOf(0, from - earliest).toInt()
         val page = StandInServer.mapper.createObjectNode().put("tail", tailOffset).put("earliest", earliest)
--- a/standin/src/main/kotlin/org/bulrushtack/standin/service/ServiceStandIn.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/service/ServiceStandIn.kt
@@ -6,9 +6,8 @@
 import org.bulrushtack.standin.ListenOptions
 import org.bulrushtack.standin.StandIn
 import org.bulrushtack.standin.StandInServer
-import java.util.concurrent.ConcurrentHashMap
+import org.bulrushtack.standin.StandInTimer
 import java.util.concurrent.ConcurrentLinkedQueue
-import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
 
@@ -17,14 +16,10 @@
     private val options: ServiceOptions,
 ) {
     private val runs = ConcurrentLinkedQueue<ServiceRun>()
-    private val running = ConcurrentHashMap<String, HttpExchange>()
     private val count = AtomicLong(0)
-    private val falls = AtomicLong(0)
+    private val life = ServiceLife(options = options, now = ::now)
     private val reports = LaggingReport(lagMillis = options.reportLagMillis)
-    private val timer = Executors.newScheduledThreadPool(1) { Thread(it, "service").also { thread -> thread.isDaemon = true } }
-
-    @Volatile
-    private var startedAtMillis = now()
+    private val timer = StandInTimer.create(name = "service")
 
     @Volatile
     private var faults = ServiceFaults()
@@ -36,9 +31,13 @@
     }
 
     private fun serviceRoutes(): StandInServer = StandInServer().apply {
-        route("GET", "/v1/requests") { list(it) }
-        route("GET", "/v1/load") { it.respond(StandInServer.json(status = 200, value = reports.shown(now()) ?: report())) }
-        route("POST", "/v1/requests/") { it.respond(StandInServer.json(status = 404, value = mapOf("cancelled" to false))) }
+        route("GET", "/v1/requests") { it.respond(StandInServer.json(status = 200, value = life.list(faults.leaving))) }
+        route("GET", "/v1/load") { exchange ->
+            exchange.respond(StandInServer.json(status = 200, value = reports.shown(now()) ?: report()))
+        }
+        route("POST", "/v1/requests/") { exchange ->
+            exchange.respond(StandInServer.json(status = 200, value = mapOf("cancelled" to false)))
+        }
         route("POST", "/") { call(it) }
     }
 
@@ -49,28 +48,26 @@
         }
         route("GET", "/control/runs") { it.respond(StandInServer.json(status = 200, value = mapOf("runs" to runs))) }
         route("POST", "/control/restart") { exchange ->
-            restart()
-            exchange.respond(StandInServer.json(status = 200, value = mapOf("falls" to falls.get())))
+            life.restart()
+            exchange.respond(StandInServer.json(status = 200, value = report()))
         }
     }
 
     private fun call(exchange: HttpExchange) {
         val id = exchange.request.headers.find("x-request-id").orEmpty()
-        running[id] = exchange
-        if (isCold() && running.size > options.coldConcurrency) {
-            restart()
-            return
-        }
-        timer.schedule({ finish(id) }, options.workMillis + faults.delayMillis, TimeUnit.MILLISECONDS)
+        val stands = life.add(id = id, exchange = exchange)
+        val workMillis = options.workMillis + faults.delayMillis
+        if (stands) timer.schedule({ finish(id) }, workMillis, TimeUnit.MILLISECONDS)
     }
 
     private fun finish(id: String) {
-        val exchange = running.remove(id) ?: return
+        val exchange = life.remove(id) ?: return
         val run = record(exchange)
         if (loseAnswer()) {
             exchange.abort()
         } else {
-            exchange.respond(StandInServer.json(status = 201, value = run, headers = headers()))
+            val headers = HttpHeaderList().with(name = "x-incarnation", value = life.incarnation)
+            exchange.respond(StandInServer.json(status = 201, value = run, headers = headers))
         }
     }
 
@@ -95,35 +92,7 @@
         return left > 0
     }
 
-    private fun restart() {
-        falls.incrementAndGet()
-        startedAtMillis = now()
-        running.keys.forEach { running.remove(it)?.abort() }
-    }
-
-    private fun list(exchange: HttpExchange) {
-        val message = StandInServer.mapper.createObjectNode()
-            .put("incarnation", incarnation())
-            .put("capacity_tokens", 0)
-            .put("leaving", faults.leaving)
-        val rows = message.putArray("requests")
-        running.forEach { (id, held) ->
-            rows.addObject()
-                .put("id", id)
-                .put("owner", held.request.headers.find("x-owner").orEmpty())
-                .put("owner_incarnation", held.request.headers.find("x-owner-incarnation").orEmpty())
-                .put("reserved_tokens", 0)
-        }
-        exchange.respond(StandInServer.json(status = 200, value = message))
-    }
-
-    private fun report(): ServiceReport = ServiceReport(incarnation = incarnation(), cold = isCold())
-
-    private fun headers(): HttpHeaderList = HttpHeaderList().with(name = "x-incarnation", value = incarnation())
-
-    private fun incarnation(): String = "life-$startedAtMillis"
-
-    private fun isCold(): Boolean = now() - startedAtMillis < options.coldMillis
+    private fun report(): ServiceReport = ServiceReport(incarnation = life.incarnation, cold = life.isCold)
 
     private fun now(): Long = System.currentTimeMillis()
 
