Bound dispatches that a backend server has not acknowledged

Ruled out: polling faster, which only narrows the gap. The server's first answer names its incarnation, so no more than the cold bound may be without one.

--- a/backend/src/main/kotlin/org/bulrushtack/backend/EngineAnswerReader.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/EngineAnswerReader.kt
@@ -23,6 +23,7 @@
     override fun onHead(status: Int, headers: HttpHeaderList) {
         this.status = status
         incarnation = headers.find(OrderHeaders.INCARNATION)
+        if (status == STATUS_OK) incarnation?.let { listener.onAccepted(it) }
     }
 
     override fun onData(bytes: ByteArray) {
--- a/core/src/main/kotlin/org/bulrushtack/core/backend/EngineListener.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/backend/EngineListener.kt
@@ -4,6 +4,9 @@
 
 /** Hears of one completion on an engine, on a network thread. After an end or a failure nothing more is said. */
 public interface EngineListener {
+    /** The engine took the request and named its [incarnation]. */
+    public fun onAccepted(incarnation: String)
+
     /** Tokens arrived; [offset] counts those before them. */
     public fun onChunk(offset: Long, tokens: Long, text: String)
 
--- a/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
@@ -79,6 +79,12 @@
         val id: WorkId,
     ) : Event
 
+    /** A backend server answered a dispatch for the first time, and so named its [incarnation]. */
+    public data class WorkAcknowledged(
+        val id: WorkId,
+        val incarnation: String,
+    ) : Event
+
     /** A dispatch ended. */
     public data class WorkEnded(
         val id: WorkId,
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/DispatchController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/DispatchController.kt
@@ -26,6 +26,7 @@
         val actions = when (event) {
             is Event.WorkSubmitted -> submit(work = event.work, nowMillis = nowMillis)
             is Event.WorkWithdrawn -> withdraw(event.id)
+            is Event.WorkAcknowledged -> observer.acknowledge(event)
             is Event.WorkEnded -> end(event = event, nowMillis = nowMillis)
             is Event.ServerReported -> observer.report(event = event, nowMillis = nowMillis)
             is Event.ServerListed -> list(event = event, nowMillis = nowMillis)
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
@@ -76,10 +76,15 @@
         }
     }
 
-    /** Whether one more request fits under the bound and this daemon's share of it. */
+    /**
+     * Whether one more request fits under the bound and this daemon's share of it. Dispatches that the server has
+     * not acknowledged are no more than it bears when cold, since it may have turned cold without a word.
+     */
     public fun hasRoom(settings: ServerSettings, nowMillis: Long): Boolean {
         val bound = bound(settings = settings, nowMillis = nowMillis)
-        return running.size < (bound * share).toInt() && running.size + foreign.size < bound
+        val fitsBound = running.size < (bound * share).toInt() && running.size + foreign.size < bound
+        val unacknowledged = running.values.count { !it.acknowledged }
+        return fitsBound && unacknowledged < (settings.coldConcurrency * share).toInt()
     }
 
     /** Whether [work] fits into the server's memory, its own share of it, and the part that long work may take. */
@@ -103,6 +108,11 @@
         cold = true
     }
 
+    /** Notes that the server answered a dispatch under its present incarnation. */
+    internal fun acknowledge(id: WorkId) {
+        running.computeIfPresent(id) { _, charge -> charge.copy(acknowledged = true) }
+    }
+
     /** Notes that the connection of a dispatch was lost while the server may still hold it. */
     internal fun lose(id: WorkId, nowMillis: Long) {
         val charge = running[id] ?: return
@@ -127,11 +137,13 @@
     /**
      * One dispatch.
      *
+     * @property acknowledged whether the server has answered it under the incarnation that this daemon knows
      * @property lostAtMillis when its connection was lost while the server may still hold it, or null
      */
     public data class Charge(
         val work: Work,
         val startedAtMillis: Long,
+        val acknowledged: Boolean = false,
         val lostAtMillis: Long? = null,
     )
 
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
@@ -29,6 +29,8 @@
         ledger.capacityTokens = list.capacityTokens
         ledger.leaving = list.leaving
         freeWhatEnded(ledger = ledger, event = event)
+        val held = list.requests.map { it.id }.toSet()
+        ledger.running.keys.filter { it.serverRequestId in held }.forEach { ledger.acknowledge(it) }
         val own = ledger.running.keys.map { it.serverRequestId }.toSet()
         ledger.foreign = list.requests.filter { it.id !in own }.associateBy { it.id }
         ledger.listed = true
@@ -37,6 +39,14 @@
         return cancels(ledger = ledger, address = address, nowMillis = nowMillis)
     }
 
+    /** Takes the server's first answer to a dispatch. */
+    fun acknowledge(event: Event.WorkAcknowledged): List<Action> {
+        val ledger = ledgers.all().firstOrNull { event.id in it.running } ?: return emptyList()
+        seeIncarnation(ledger = ledger, incarnation = event.incarnation)
+        ledger.acknowledge(event.id)
+        return emptyList()
+    }
+
     /** Notes the server's incarnation; a new one is cold and holds nothing of before. */
     fun seeIncarnation(ledger: Ledger, incarnation: String) {
         if (ledger.incarnation == incarnation) return
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/OwnedAttempt.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/OwnedAttempt.kt
@@ -17,7 +17,7 @@
     private val sink: FrameSink,
     private val identity: MemberIdentity,
     private val engines: EngineClient,
-    private val onEnding: (WorkEnding) -> Unit,
+    private val outcome: WorkObserver,
 ) : OwnedWork, EngineListener {
     @Volatile
     private var call: BackendCall? = null
@@ -27,7 +27,7 @@
 
     override fun start(action: Action.StartWork) {
         if (withdrawn) {
-            onEnding(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
+            outcome.ended(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
             return
         }
         sink.started()
@@ -44,6 +44,8 @@
         call?.cancel()
     }
 
+    override fun onAccepted(incarnation: String) = outcome.acknowledged(incarnation)
+
     override fun onChunk(offset: Long, tokens: Long, text: String) {
         sink.chunk(offset = offset, tokens = tokens, text = text)
         if (sink.isReady) return
@@ -53,22 +55,22 @@
 
     override fun onFinished(totalTokens: Long, reason: String, incarnation: String?) {
         sink.finished(totalTokens = totalTokens, reason = reason)
-        onEnding(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = incarnation))
+        outcome.ended(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = incarnation))
     }
 
     override fun onRefused(problem: Problem, incarnation: String?) {
         sink.failed(problem)
-        onEnding(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = incarnation))
+        outcome.ended(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = incarnation))
     }
 
     override fun onNotSent(detail: String) {
         sink.failed(Problem(kind = ErrorKind.NOT_DISPATCHED, detail = detail))
-        onEnding(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
+        outcome.ended(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
     }
 
     override fun onLost(detail: String, incarnation: String?) {
         sink.failed(Problem(kind = ErrorKind.BACKEND_LOST, detail = detail))
-        onEnding(WorkEnding(kind = WorkEnding.Kind.LOST, incarnation = incarnation))
+        outcome.ended(WorkEnding(kind = WorkEnding.Kind.LOST, incarnation = incarnation))
     }
 
     private fun engineRequest(action: Action.StartWork): EngineRequest = EngineRequest(
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/OwnedCall.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/OwnedCall.kt
@@ -16,22 +16,22 @@
     private val sink: CallSink,
     private val identity: MemberIdentity,
     private val services: ServiceClient,
-    private val onEnding: (WorkEnding) -> Unit,
+    private val outcome: WorkObserver,
 ) : OwnedWork {
     override fun start(action: Action.StartWork) {
         services.call(address = action.address, request = request(action)).thenAccept { result ->
             when (result) {
                 is ServiceResult.Answered -> {
                     sink.answered(result.answer)
-                    onEnding(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = result.incarnation))
+                    outcome.ended(WorkEnding(kind = WorkEnding.Kind.ENDED, incarnation = result.incarnation))
                 }
                 is ServiceResult.NotSent -> {
                     sink.failed(Problem(kind = ErrorKind.NOT_DISPATCHED, detail = result.detail))
-                    onEnding(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
+                    outcome.ended(WorkEnding(kind = WorkEnding.Kind.NOT_SENT))
                 }
                 is ServiceResult.Lost -> {
                     sink.failed(Problem(kind = ErrorKind.BACKEND_LOST, detail = result.detail))
-                    onEnding(WorkEnding(kind = WorkEnding.Kind.LOST))
+                    outcome.ended(WorkEnding(kind = WorkEnding.Kind.LOST))
                 }
             }
         }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/WorkRunner.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/WorkRunner.kt
@@ -49,7 +49,7 @@
             sink = sink,
             identity = identity,
             engines = engines,
-            onEnding = { ended(id = order.id, ending = it) },
+            outcome = ControlObserver(order.id),
         )
         take(work = work, owned = attempt)
     }
@@ -70,7 +70,7 @@
             sink = sink,
             identity = identity,
             services = services,
-            onEnding = { ended(id = order.id, ending = it) },
+            outcome = ControlObserver(order.id),
         )
         take(work = work, owned = call)
     }
@@ -135,6 +135,15 @@
         works.remove(id)
         control.post(Event.WorkEnded(id = id, ending = ending))
     }
+
+    private inner class ControlObserver(
+        private val id: WorkId,
+    ) : WorkObserver {
+        override fun acknowledged(incarnation: String) =
+            control.post(Event.WorkAcknowledged(id = id, incarnation = incarnation))
+
+        override fun ended(ending: WorkEnding) = this@WorkRunner.ended(id = id, ending = ending)
+    }
 }
 
 private const val CALL_MILLIS = 50L
