--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
@@ -23,6 +23,9 @@
 
     /** The share of the server's bounds that this daemon may use, from 0 to 1. */
     public var share: Double = NO_SHARE
+        private set
+
+    private var raise: Raise? = null
 
     /** The server's incarnation, or null until its list was read. */
     public var incarnation: String? = null
@@ -36,8 +39,8 @@
     /** The server's memory, in tokens. */
     public var capacityTokens: Long = 0
 
-    /** Whether the server's list was read since this daemon took it over. */
-    public var listed: Boolean = false
+    /** When the last list of the server was asked for, or null before the first since this daemon took it over. */
+    public var listAskedAtMillis: Long? = null
 
     /** When a connection to the server was last lost without an explanation, or null. */
     public var suspectSinceMillis: Long? = null
@@ -60,6 +63,9 @@
     /** How long the first of [queue] has not fitted, as the time when that began. */
     public var headBlockedSinceMillis: Long? = null
 
+    /** Whether the server's list was read since this daemon took it over. */
+    public val listed: Boolean get() = listAskedAtMillis != null
+
     /** Tokens that the server holds or is about to hold. */
     public fun heldTokens(): Long = ownTokens() + foreign.values.sumOf { it.reservedTokens }
 
@@ -101,13 +107,36 @@
 
     /** Takes over the server anew: nothing is known of it until its list was read. */
     public fun reset() {
-        listed = false
+        share = NO_SHARE
+        raise = null
+        listAskedAtMillis = null
         fenceAccepted = false
         rampSinceMillis = null
         rampFloor = 0
         cold = true
     }
 
+    /**
+     * Lowers the share to [allowed] at once. A higher one counts only after the server was listed anew, some time
+     * after it was allowed, so that what another owner sent until then is seen and counted.
+     */
+    internal fun grant(allowed: Double, nowMillis: Long) {
+        if (allowed <= share) {
+            share = allowed
+            raise = null
+            return
+        }
+        val since = raise?.takeIf { it.share == allowed }?.sinceMillis ?: nowMillis
+        raise = Raise(share = allowed, sinceMillis = since)
+        if ((listAskedAtMillis ?: Long.MIN_VALUE) >= since + SETTLING_MILLIS) share = allowed
+    }
+
+    /** Ends the ownership: nothing more may be sent. */
+    internal fun close() {
+        open = false
+        share = NO_SHARE
+    }
+
     /** Notes that the server answered a dispatch under its present incarnation. */
     internal fun acknowledge(id: WorkId) {
         running.computeIfPresent(id) { _, charge -> charge.copy(acknowledged = true) }
@@ -147,6 +176,11 @@
         val lostAtMillis: Long? = null,
     )
 
+    private data class Raise(
+        val share: Double,
+        val sinceMillis: Long,
+    )
+
     public companion object {
         /** The share of a confirmed owner without an uncertain predecessor. */
         public const val FULL_SHARE: Double = 1.0
@@ -160,3 +194,4 @@
 }
 
 private const val PERCENT = 100
+private const val SETTLING_MILLIS = 500L
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/LedgersRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/LedgersRegion.kt
@@ -25,8 +25,7 @@
     /** Ends the ownership of [server]; dispatches that run are seen to their end. */
     public fun close(server: String) {
         val ledger = ledgers[server] ?: return
-        ledger.open = false
-        ledger.share = Ledger.NO_SHARE
+        ledger.close()
         if (ledger.running.isEmpty() && ledger.queue.isEmpty()) ledgers.remove(server)
     }
 
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
@@ -33,7 +33,7 @@
         ledger.running.keys.filter { it.serverRequestId in held }.forEach { ledger.acknowledge(it) }
         val own = ledger.running.keys.map { it.serverRequestId }.toSet()
         ledger.foreign = list.requests.filter { it.id !in own }.associateBy { it.id }
-        ledger.listed = true
+        ledger.listAskedAtMillis = event.askedAtMillis
         val suspectSince = ledger.suspectSinceMillis
         if (suspectSince != null && event.askedAtMillis >= suspectSince) ledger.suspectSinceMillis = null
         return cancels(ledger = ledger, address = address, nowMillis = nowMillis)
--- a/core/src/main/kotlin/org/bulrushtack/core/membership/MembersRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/membership/MembersRegion.kt
@@ -8,9 +8,12 @@
     /** The other daemons that were heard of, by name. */
     public val members: MutableMap<String, Member> = LinkedHashMap()
 
-    /** When each daemon last answered this one directly, by name. */
+    /** When this daemon asked what each other one last answered, by name: the other lived then, or later. */
     public val lastAnswerAtMillis: MutableMap<String, Long> = HashMap()
 
+    /** Since when this daemon has heard most of the entry VMs without a break, or null. */
+    public var majoritySinceMillis: Long? = null
+
     /** What owners said of their backend servers, by backend server. */
     public val loads: MutableMap<String, OwnedLoad> = HashMap()
 
@@ -41,6 +44,15 @@
         return (heard + 1) * 2 > others.size + 1
     }
 
+    /**
+     * Whether this daemon has heard most of the entry VMs for long enough that every other one that hears most of
+     * them has learned that it lives.
+     */
+    public fun hearsMajoritySteadily(self: String, nowMillis: Long): Boolean {
+        val since = majoritySinceMillis ?: return false
+        return nowMillis - since >= STEADY_MILLIS && hearsMajority(self, nowMillis, MAJORITY_WINDOW_MILLIS)
+    }
+
     /** A load and the daemon that said it. */
     public data class OwnedLoad(
         val owner: String,
@@ -49,5 +61,10 @@
     )
 }
 
+/** How old the answers may be that make a majority, in milliseconds. */
+public const val MAJORITY_WINDOW_MILLIS: Long = 3_000
+
+private const val STEADY_MILLIS = 5_000L
+
 /** How long a daemon counts as live after its heartbeat count last grew, in milliseconds. */
 public const val MEMBER_LEASE_MILLIS: Long = 3_000
--- a/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
@@ -26,6 +26,7 @@
     }
 
     private fun heartbeats(nowMillis: Long): List<Action> {
+        watchMajority(nowMillis)
         if (nowMillis < nextHeartbeatAtMillis) return emptyList()
         nextHeartbeatAtMillis = nowMillis + HEARTBEAT_MILLIS
         region.heartbeatCount++
@@ -51,7 +52,8 @@
         val message = event.message
         message.members.forEach { hear(digest = it, direct = false, nowMillis = nowMillis) }
         hear(digest = message.sender, direct = true, nowMillis = nowMillis)
-        if (event.answersAskedAtMillis != null) region.lastAnswerAtMillis[message.sender.name] = nowMillis
+        watchMajority(nowMillis)
+        event.answersAskedAtMillis?.let { region.lastAnswerAtMillis[message.sender.name] = it }
         message.loads.forEach { load ->
             region.loads[load.server] = MembersRegion.OwnedLoad(
                 owner = message.sender.name,
@@ -62,6 +64,16 @@
         return emptyList()
     }
 
+    /** Runs before each answer counts, so that a break is noticed also after a pause of this process. */
+    private fun watchMajority(nowMillis: Long) {
+        val hears = region.hearsMajority(
+            self = blackboard.identity.name,
+            nowMillis = nowMillis,
+            windowMillis = MAJORITY_WINDOW_MILLIS,
+        )
+        region.majoritySinceMillis = if (hears) region.majoritySinceMillis ?: nowMillis else null
+    }
+
     private fun hear(digest: MemberDigest, direct: Boolean, nowMillis: Long) {
         if (digest.name == blackboard.identity.name) return
         val known = region.members[digest.name]
--- a/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipController.kt
@@ -58,30 +58,34 @@
         when {
             entry != null && claims.isRecordedOwner(server.name) -> {
                 val ledger = ledgers.open(server = server.name, fence = fence, nowMillis = nowMillis)
-                ledger.share = shares.recorded(server = server, entry = entry, nowMillis = nowMillis, ledger = ledger)
+                val share = shares.recorded(server = server, entry = entry, nowMillis = nowMillis, ledger = ledger)
+                ledger.grant(allowed = share, nowMillis = nowMillis)
             }
             isBest && mayActProvisionally(server = server, nowMillis = nowMillis) -> {
                 val provisionalFence = fence + PROVISIONAL_FENCE
                 val ledger = ledgers.open(server = server.name, fence = provisionalFence, nowMillis = nowMillis)
-                ledger.share = Ledger.HALF_SHARE
+                ledger.grant(allowed = Ledger.HALF_SHARE, nowMillis = nowMillis)
             }
             else -> ledgers.close(server.name)
         }
     }
 
-    /** The log can't be reached, the recorded owner is not heard, and most daemons are. */
+    /** The log can't be reached, the recorded owner has been silent for long, and most daemons are heard. */
     private fun mayActProvisionally(server: BackendServer, nowMillis: Long): Boolean {
+        val members = blackboard.members
         val owner = blackboard.log.folder.owners.find(server.name)?.owner
-        val ownerLives = owner != null && blackboard.members.isLive(name = owner, nowMillis = nowMillis)
-        val hearsMajority = blackboard.members.hearsMajority(
+        val heardAtMillis = owner?.let { members.members[it]?.lastAdvanceAtMillis }
+        val ownerIsSilent = owner != self.name && nowMillis - (heardAtMillis ?: 0) >= PROVISIONAL_SILENCE_MILLIS
+        val hearsMajority = members.hearsMajority(
             self = self.name,
             nowMillis = nowMillis,
-            windowMillis = MAJORITY_WINDOW_MILLIS,
+            windowMillis = PROVISIONAL_WINDOW_MILLIS,
         )
-        return !blackboard.log.isConfirmed(nowMillis) && !ownerLives && hearsMajority && claims.isPastStart(nowMillis)
+        return !blackboard.log.isConfirmed(nowMillis) && ownerIsSilent && hearsMajority && claims.isPastStart(nowMillis)
     }
 }
 
-private const val MAJORITY_WINDOW_MILLIS = 5_000L
+private const val PROVISIONAL_SILENCE_MILLIS = 8_000L
+private const val PROVISIONAL_WINDOW_MILLIS = 2_000L
 private const val FENCES_PER_EPOCH = 2L
 private const val PROVISIONAL_FENCE = 1L
--- a/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
@@ -2,6 +2,7 @@
 
 import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.dispatch.Ledger
+import org.bulrushtack.core.log.LogRegion
 import org.bulrushtack.core.log.OwnerEntry
 import org.bulrushtack.core.server.BackendServer
 
@@ -15,11 +16,17 @@
     /** The share of [server]'s bounds for its recorded owner at [nowMillis], from 0 to 1. */
     fun recorded(server: BackendServer, entry: OwnerEntry, nowMillis: Long, ledger: Ledger): Double = when {
         !blackboard.log.isConfirmed(nowMillis) -> unconfirmed(nowMillis)
+        !hearsMajoritySteadily(nowMillis) -> Ledger.HALF_SHARE
         server.settings.checksFencing && ledger.fenceAccepted -> Ledger.FULL_SHARE
-        else -> {
-            val uncertain = entry.predecessors.count { mayStillDispatch(it, entry, nowMillis, ledger) }
-            maxOf(Ledger.NO_SHARE, Ledger.FULL_SHARE - uncertain * Ledger.HALF_SHARE)
-        }
+        else -> besidePredecessors(entry = entry, nowMillis = nowMillis, ledger = ledger)
+    }
+
+    /** A predecessor may use all of the bounds until its knowledge of the log's tail is too old, and then half. */
+    private fun besidePredecessors(entry: OwnerEntry, nowMillis: Long, ledger: Ledger): Double {
+        val uncertain = entry.predecessors.count { mayStillDispatch(it, entry, nowMillis, ledger) }
+        val leaseMayRun = nowMillis - ledger.fenceSinceMillis <= LogRegion.CONFIRMATION_MILLIS
+        if (uncertain > 0 && leaseMayRun) return Ledger.NO_SHARE
+        return maxOf(Ledger.NO_SHARE, Ledger.FULL_SHARE - uncertain * Ledger.HALF_SHARE)
     }
 
     private fun unconfirmed(nowMillis: Long): Double =
@@ -42,6 +49,10 @@
         }
     }
 
+    /** Without it, a provisional owner may act that takes this daemon for dead. */
+    private fun hearsMajoritySteadily(nowMillis: Long): Boolean =
+        blackboard.members.hearsMajoritySteadily(self = blackboard.identity.name, nowMillis = nowMillis)
+
     private fun hearsMajority(nowMillis: Long): Boolean = blackboard.members.hearsMajority(
         self = blackboard.identity.name,
         nowMillis = nowMillis,
--- a/core/src/test/kotlin/org/bulrushtack/core/control/FaultPropertyTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/control/FaultPropertyTest.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.core.control
 
 import io.kotest.assertions.withClue
+import io.kotest.common.ExperimentalKotest
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
@@ -18,6 +19,7 @@
 import org.bulrushtack.core.testing.Faults
 
 /** Draws interleavings of faults over several daemons; a failure prints the seed, `-Dseed=N` hands it in again. */
+@OptIn(ExperimentalKotest::class)
 class FaultPropertyTest : FunSpec({
     val seed = System.getProperty("seed")?.toLong() ?: 20_261_204L
     val config = PropTestConfig(seed = seed, iterations = System.getProperty("iterations")?.toInt() ?: 40)
