--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
@@ -66,6 +66,9 @@
     /** Whether the server's list was read since this daemon took it over. */
     public val listed: Boolean get() = listAskedAtMillis != null
 
+    /** Whether a list that was asked for after [askedAtMillis] has come before. */
+    public fun isListedAfter(askedAtMillis: Long): Boolean = (listAskedAtMillis ?: Long.MIN_VALUE) > askedAtMillis
+
     /** Tokens that the server holds or is about to hold. */
     public fun heldTokens(): Long = ownTokens() + foreign.values.sumOf { it.reservedTokens }
 
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/ServerObserver.kt
@@ -23,7 +23,8 @@
 
     /** Takes the server's list; requests that it no longer holds free their memory. */
     fun list(event: Event.ServerListed, address: String, nowMillis: Long): List<Action> {
-        val ledger = ledgers.find(event.server) ?: return emptyList()
+        val ledger = ledgers.find(event.server)?.takeUnless { it.isListedAfter(event.askedAtMillis) }
+            ?: return emptyList()
         val list = event.list
         seeIncarnation(ledger = ledger, incarnation = list.incarnation)
         ledger.capacityTokens = list.capacityTokens
--- a/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipShares.kt
@@ -14,11 +14,17 @@
     private val blackboard: Blackboard,
 ) {
     /** The share of [server]'s bounds for its recorded owner at [nowMillis], from 0 to 1. */
-    fun recorded(server: BackendServer, entry: OwnerEntry, nowMillis: Long, ledger: Ledger): Double = when {
+    fun recorded(server: BackendServer, entry: OwnerEntry, nowMillis: Long, ledger: Ledger): Double {
+        val isFenced = server.settings.checksFencing && ledger.fenceAccepted
+        val beside = if (isFenced) Ledger.FULL_SHARE else besidePredecessors(entry, nowMillis, ledger)
+        return minOf(beside, besideSuccessors(nowMillis))
+    }
+
+    /** What may be used beside an owner that has taken this daemon for dead without its knowledge. */
+    private fun besideSuccessors(nowMillis: Long): Double = when {
         !blackboard.log.isConfirmed(nowMillis) -> unconfirmed(nowMillis)
         !hearsMajoritySteadily(nowMillis) -> Ledger.HALF_SHARE
-        server.settings.checksFencing && ledger.fenceAccepted -> Ledger.FULL_SHARE
-        else -> besidePredecessors(entry = entry, nowMillis = nowMillis, ledger = ledger)
+        else -> Ledger.FULL_SHARE
     }
 
     /** A predecessor may use all of the bounds until its knowledge of the log's tail is too old, and then half. */
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeDaemon.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeDaemon.kt
@@ -24,7 +24,7 @@
     var paused = false
         set(value) {
             field = value
-            while (!value && waiting.isNotEmpty()) handle(waiting.removeFirst())
+            while (alive && !value && waiting.isNotEmpty()) handle(waiting.removeFirst())
         }
 
     val name: String get() = identity.name
