--- a/backend/src/main/kotlin/org/bulrushtack/backend/EngineAnswerReader.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/EngineAnswerReader.kt
@@ -57,15 +57,13 @@
     private fun read(event: String) {
         if (ended || event == DONE) return
         val node = mapper.readTree(event)
-        val finish = node["finish_reason"]
-        if (finish != null && !finish.isNull) finish(node = node, reason = finish.asText()) else chunk(node)
+        val choice = node["choices"][0]
+        val reason = choice["finish_reason"]
+        if (reason.isNull) chunk(node = node, text = choice["text"].asText()) else finish(node, reason.asText())
     }
 
-    private fun chunk(node: JsonNode) = listener.onChunk(
-        offset = node["offset"].asLong(),
-        tokens = node["tokens"].asLong(),
-        text = node["text"].asText(),
-    )
+    private fun chunk(node: JsonNode, text: String) =
+        listener.onChunk(offset = node["offset"].asLong(), tokens = node["tokens"].asLong(), text = text)
 
     private fun finish(node: JsonNode, reason: String) {
         ended = true
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/dispatch/LedgerTest.kt
@@ -0,0 +1,85 @@
+package org.bulrushtack.core.dispatch
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.server.ServerSettings
+
+class LedgerTest : FunSpec({
+    val settings = ServerSettings(
+        coldConcurrency = 2,
+        warmConcurrency = 10,
+        rampMillis = 1_000,
+        checksFencing = false,
+        longTokens = 30_000,
+        longSharePercent = 60,
+        prefillTokensPerSecond = 1_000,
+        decodeTokensPerSecond = 10,
+    )
+
+    fun work(number: Int, tokens: Long = 1_000) =
+        Work(WorkId("request-$number", 1), "engine", "dock", tokens, 100, receivedAtMillis = 0, deadlineAtMillis = 9_999)
+
+    fun Ledger.run(work: Work, acknowledged: Boolean = true) {
+        running[work.id] = Ledger.Charge(work, startedAtMillis = 0, acknowledged = acknowledged)
+    }
+
+    fun warmLedger() = Ledger("engine").apply {
+        incarnation = "life"
+        listAskedAtMillis = 0
+        capacityTokens = 100_000
+        grant(allowed = Ledger.FULL_SHARE, nowMillis = -1_000)
+        cold = false
+        rampSinceMillis = 0
+    }
+
+    test("a server that was not listed gets nothing, and a cold one its cold bound") {
+        val testSubject = Ledger("engine")
+        testSubject.bound(settings, nowMillis = 0) shouldBe 0
+
+        testSubject.listAskedAtMillis = 0
+        testSubject.incarnation = "life"
+
+        testSubject.bound(settings, nowMillis = 50_000) shouldBe 2
+    }
+
+    test("the bound rises over the ramp and not beyond") {
+        val testSubject = warmLedger()
+
+        listOf(0L, 500L, 1_000L, 9_000L).map { testSubject.bound(settings, it) } shouldBe listOf(2, 6, 10, 10)
+    }
+
+    test("no more dispatches are unacknowledged than a cold server bears") {
+        val testSubject = warmLedger()
+        testSubject.run(work(1), acknowledged = false)
+        testSubject.hasRoom(settings, nowMillis = 1_000) shouldBe true
+
+        testSubject.run(work(2), acknowledged = false)
+        testSubject.hasRoom(settings, nowMillis = 1_000) shouldBe false
+
+        testSubject.acknowledge(work(1).id)
+        testSubject.hasRoom(settings, nowMillis = 1_000) shouldBe true
+    }
+
+    test("long work takes no more than its share of memory, unless nothing long runs") {
+        val testSubject = warmLedger()
+        testSubject.fitsMemory(work(1, tokens = 90_000), settings) shouldBe true
+
+        testSubject.run(work(1, tokens = 40_000))
+
+        testSubject.fitsMemory(work(2, tokens = 31_000), settings) shouldBe false
+        testSubject.fitsMemory(work(3, tokens = 30_000), settings) shouldBe true
+    }
+
+    test("a higher share counts only after a fresh list") {
+        val testSubject = warmLedger()
+        testSubject.grant(allowed = Ledger.HALF_SHARE, nowMillis = 2_000)
+        testSubject.share shouldBe Ledger.HALF_SHARE
+
+        testSubject.grant(allowed = Ledger.FULL_SHARE, nowMillis = 3_000)
+        testSubject.share shouldBe Ledger.HALF_SHARE
+
+        testSubject.listAskedAtMillis = 3_500
+        testSubject.grant(allowed = Ledger.FULL_SHARE, nowMillis = 3_600)
+        testSubject.share shouldBe Ledger.FULL_SHARE
+    }
+})
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/log/LogFolderTest.kt
@@ -0,0 +1,144 @@
+package org.bulrushtack.core.log
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.settings.SettingAddress
+import org.bulrushtack.core.settings.SettingChange
+import org.bulrushtack.core.settings.SettingsPath
+
+class LogFolderTest : FunSpec({
+    val dock = SettingsPath.ROOT.child("workspaces").child("dock")
+    val address = SettingAddress(dock, "max-running")
+    val call = CallKey("dock", "booking", "key")
+
+    fun edit(id: String, value: String, version: Long) =
+        SettingsEdit(id, "operator", listOf(SettingChange(address, value, version)))
+
+    fun claim(id: String) = CallClaim(id, call, "vm-1", "life", "fingerprint")
+
+    fun LogFolder.foldAll(vararg records: LogRecord): List<FoldOutcome> = records.map { record ->
+        fold(LogEntry(appliedOffset + 1, appendedAtMillis = 1_000, record))!!.outcome
+    }
+
+    test("the first of two edits that saw the same version wins") {
+        val testSubject = LogFolder()
+
+        val outcomes = testSubject.foldAll(edit("a", "10", 0), edit("b", "20", 0), edit("c", "30", 1))
+
+        outcomes shouldBe listOf(
+            FoldOutcome.Accepted,
+            FoldOutcome.Rejected(listOf(address)),
+            FoldOutcome.Accepted,
+        )
+        testSubject.tree.resolve(dock, "max-running").value shouldBe "30"
+    }
+
+    test("a record that stands twice folds as once") {
+        val testSubject = LogFolder()
+
+        val outcomes = testSubject.foldAll(edit("a", "10", 0), edit("b", "20", 1), edit("a", "10", 0))
+
+        outcomes.last() shouldBe FoldOutcome.Duplicate
+        testSubject.tree.resolve(dock, "max-running").value shouldBe "20"
+    }
+
+    test("an entry at or below the applied offset is passed over") {
+        val testSubject = LogFolder()
+        testSubject.foldAll(edit("a", "10", 0), edit("b", "20", 1))
+
+        testSubject.fold(LogEntry(1, 1_000, edit("c", "30", 0))).shouldBeNull()
+        testSubject.load(LogState(appliedOffset = 1)) shouldBe false
+
+        testSubject.appliedOffset shouldBe 2
+    }
+
+    test("a removed value leaves its version, so that an edit that saw none is stale") {
+        val testSubject = LogFolder()
+        val unset = SettingsEdit("b", "operator", listOf(SettingChange(address, null, 1)))
+
+        val outcomes = testSubject.foldAll(edit("a", "10", 0), unset, edit("c", "30", 0))
+
+        outcomes.last() shouldBe FoldOutcome.Rejected(listOf(address))
+        testSubject.tree.resolve(dock, "max-running").source.shouldBeNull()
+    }
+
+    test("one claim of a call wins, and only its own outcome counts") {
+        val testSubject = LogFolder()
+        val foreign = CallOutcome("x", call, claimId = "b", known = true, answer = null)
+        val own = CallOutcome("y", call, claimId = "a", known = true, answer = null)
+
+        val outcomes = testSubject.foldAll(claim("a"), claim("b"), foreign, own)
+
+        outcomes shouldBe listOf(
+            FoldOutcome.Accepted,
+            FoldOutcome.Rejected(),
+            FoldOutcome.Rejected(),
+            FoldOutcome.Accepted,
+        )
+        testSubject.claims.find(call)?.outcome shouldBe own
+    }
+
+    test("a released claim frees the key, and a release after the outcome does not") {
+        val testSubject = LogFolder()
+        val outcome = CallOutcome("y", call, claimId = "b", known = false, answer = null)
+
+        val outcomes = testSubject.foldAll(
+            claim("a"),
+            CallRelease("r1", call, "a"),
+            claim("b"),
+            outcome,
+            CallRelease("r2", call, "b"),
+        )
+
+        outcomes.last() shouldBe FoldOutcome.Rejected()
+        testSubject.claims.find(call)?.outcome shouldBe outcome
+    }
+
+    test("claims expire by the platform's clock") {
+        val testSubject = LogFolder()
+        testSubject.fold(LogEntry(1, 1_000, claim("a")))
+
+        testSubject.fold(LogEntry(2, 1_001 + LogFolder.CALL_RETENTION_MILLIS, edit("b", "10", 0)))
+
+        testSubject.claims.find(call).shouldBeNull()
+    }
+
+    test("an ownership claim names the epoch that it replaces") {
+        val testSubject = LogFolder()
+
+        val outcomes = testSubject.foldAll(
+            OwnershipClaim("a", "engine", "vm-1", "life", replacesEpoch = 0),
+            OwnershipClaim("b", "engine", "vm-2", "life", replacesEpoch = 0),
+            OwnershipClaim("c", "engine", "vm-3", "life", replacesEpoch = 1),
+        )
+
+        outcomes[1] shouldBe FoldOutcome.Rejected()
+        testSubject.owners.find("engine")?.owner shouldBe "vm-3"
+        testSubject.owners.find("engine")?.epoch shouldBe 3
+        testSubject.owners.find("engine")?.predecessors shouldBe listOf(OwnerEntry.Predecessor("vm-1", "life"))
+    }
+
+    test("a folder that starts from a snapshot goes on as one that folded everything") {
+        val records = arrayOf(edit("a", "10", 0), claim("c"), OwnershipClaim("o", "engine", "vm-1", "life", 0))
+        val whole = LogFolder().apply { foldAll(*records) }
+        val testSubject = LogFolder()
+
+        testSubject.load(whole.state()) shouldBe true
+        testSubject.foldAll(edit("a", "10", 0), claim("d"))
+        whole.foldAll(edit("a", "10", 0), claim("d"))
+
+        testSubject.state() shouldBe whole.state()
+    }
+
+    test("the history hides keys") {
+        val testSubject = LogFolder()
+        val hash = "a".repeat(64)
+        val secret = SettingChange(SettingAddress(dock, "key-hashes"), hash, 0)
+
+        testSubject.foldAll(SettingsEdit("a", "operator", listOf(secret)))
+
+        testSubject.edits.all().single().changes.single().value shouldBe "(hidden)"
+        testSubject.tree.ownerOfKeyHash(hash) shouldBe dock
+    }
+})
--- a/standin/src/main/kotlin/org/bulrushtack/standin/engine/EngineTask.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/engine/EngineTask.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.standin.engine
 
 import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
 import org.bulrushtack.http.HttpExchange
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.ResponseStream
@@ -20,9 +21,9 @@
     val owner: String = headers.find("x-owner").orEmpty()
     val ownerIncarnation: String = headers.find("x-owner-incarnation").orEmpty()
     val maximumTokens: Long = body["max_tokens"].asLong()
-    val priority: Int = body["priority"].asInt()
+    val priority: Int = body.path("priority").asInt()
 
-    private val resumedTokens = body["resume_from"].asLong()
+    private val resumedTokens = body.path("resume_from").asLong()
 
     /** Tokens of the prompt and of the resumed answer that were read. */
     var prefilled = 0L
@@ -59,10 +60,7 @@
     /** Emits [count] tokens at once. */
     fun emit(count: Long) {
         val text = (generated until generated + count).joinToString("") { "t$it-$checksum " }
-        val event = StandInServer.mapper.createObjectNode()
-            .put("offset", generated)
-            .put("tokens", count)
-            .put("text", text)
+        val event = event(text = text, reason = null).put("offset", generated).put("tokens", count)
         generated += count
         if (!clientGone) stream.write("data: $event\n\n".toByteArray())
     }
@@ -70,9 +68,7 @@
     /** Ends the answer. */
     fun finish() {
         if (clientGone) return
-        val event = StandInServer.mapper.createObjectNode()
-            .put("finish_reason", "length")
-            .put("total_tokens", generated)
+        val event = event(text = "", reason = "length").put("total_tokens", generated)
         stream.write("data: $event\n\ndata: [DONE]\n\n".toByteArray())
         stream.end()
     }
@@ -80,6 +76,12 @@
     /** Breaks the connection off. */
     fun abort() = stream.abort()
 
+    private fun event(text: String, reason: String?): ObjectNode {
+        val event = StandInServer.mapper.createObjectNode().put("id", id).put("object", "text_completion")
+        event.putArray("choices").addObject().put("index", 0).put("text", text).put("finish_reason", reason)
+        return event
+    }
+
     companion object {
         /** The task for the request of [exchange]. */
         fun of(exchange: HttpExchange, body: JsonNode, stream: ResponseStream, nowMillis: Long): EngineTask {
