--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/life/PlatformTroubleTest.kt
@@ -0,0 +1,85 @@
+package org.bulrushtack.daemon.life
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.daemon.testing.DaemonFixture
+import java.util.concurrent.CompletableFuture
+
+class PlatformTroubleTest : FunSpec({
+    lateinit var system: DaemonFixture
+
+    beforeEach { system = DaemonFixture() }
+
+    afterEach { system.close() }
+
+    test("an edit whose answer was lost is accepted once") {
+        system.platformFaults("""{"loseAnswers":1}""")
+
+        val answer = system.edit("/workspaces/dock", "max-running", "77")
+
+        answer.status shouldBe 200
+        val edits = system.json(system.operator("GET", "/v1/operator/history"))["edits"]
+        edits.count { it["changes"].first().asText().endsWith("= 77") && it["accepted"].asBoolean() } shouldBe 1
+    }
+
+    test("of two operators who edit one value at once, one wins and the other is told") {
+        val answers = system.ports.map { port ->
+            CompletableFuture.supplyAsync { system.edit("/workspaces/dock", "max-running", "$port", port) }
+        }.map { it.join() }
+
+        answers.map { it.status }.sorted() shouldBe listOf(200, 409)
+    }
+
+    test("an accepted edit is in force on every daemon within 7 seconds") {
+        val answer = system.json(system.edit("/workspaces/dock", "max-running", "5"))
+
+        answer["behind"].size() shouldBe 0
+        answer["inForceMillis"].asLong() shouldBeLessThanOrEqual 7_000
+    }
+
+    test("while the log is down completions are served, edits and bookings are refused truthfully") {
+        val key = system.newIdempotencyKey()
+        system.platformFaults("""{"outage":true}""")
+
+        val completion = system.complete("""{"model":"atlas","prompt":"x","max_tokens":1}""")
+        val booking = system.book(idempotencyKey = key, port = system.ports.first()).join()
+        val edit = system.edit("/workspaces/dock", "max-running", "6")
+
+        completion.status shouldBe 200
+        system.json(booking)["kind"].asText() shouldBe "claim-unavailable"
+        system.json(booking)["ran"].asText() shouldBe "no"
+        listOf("log-unavailable", "edit-unconfirmed") shouldContain system.json(edit)["kind"].asText()
+        system.runs().count { it == key } shouldBeLessThanOrEqual 0
+    }
+
+    test("a booking whose answer the service lost is not sent again") {
+        val key = system.newIdempotencyKey()
+        system.send(system.service.controlPort, "POST", "/control/faults", """{"loseAnswers":1}""")
+
+        val first = system.book(idempotencyKey = key, port = system.ports.first()).join()
+        val second = system.book(idempotencyKey = key, port = system.ports.last()).join()
+
+        listOf(first, second).map { system.json(it)["kind"].asText() }.toSet() shouldBe setOf("outcome-unknown")
+        system.runs().count { it == key } shouldBe 1
+    }
+
+    test("an engine that restarts in mid-stream costs no token of the answer") {
+        val answer = CompletableFuture.supplyAsync {
+            system.complete("""{"model":"atlas","prompt":"x","max_tokens":200}""")
+        }
+        val control = system.engine.controlPort
+        val stats = { system.json(system.send(control, "GET", "/control/stats", "")) }
+        DaemonFixture.await("a dispatch") { stats()["running"].asInt() == 1 }
+        system.send(control, "POST", "/control/restart", "{}")
+
+        val whole = answer.join()
+
+        whole.status shouldBe 200
+        val tokens = system.json(whole)["choices"][0]["text"].asText().trim().split(' ')
+        tokens.map { it.substringBefore('-') } shouldBe (0 until 200).map { "t$it" }
+        stats()["starts"].asInt() shouldBe 2
+    }
+})
--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReaderTest.kt
@@ -0,0 +1,48 @@
+package org.bulrushtack.daemon.settings
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import java.io.StringReader
+
+class ProcessSettingsReaderTest : FunSpec({
+    val good = """
+        [daemon]
+        name = vm-1
+        data-centre = a
+        [listen]
+        http = 127.0.0.1:8080
+        peer = 127.0.0.1:8081
+        [platform]
+        address = 127.0.0.1:9000
+    """.trimIndent()
+
+    fun faults(text: String): List<String> =
+        ProcessSettingsReader().read("vm.ini", StringReader(text)).leftOrNull().orEmpty().map { it.toString() }
+
+    test("a file with what must be there gets defaults for the rest") {
+        val settings = ProcessSettingsReader().read("vm.ini", StringReader(good)).getOrNull()
+
+        settings?.httpListen shouldBe SocketPlace("127.0.0.1", 8080)
+        settings?.bodyBytes shouldBe 8_388_608
+    }
+
+    test("every fault is named with file, section, key and the nearest right key") {
+        val text = good.replace("name = vm-1", "nam = vm-1").replace("[platform]", "[plattform]") +
+            "\n[limits]\nbody-bytes = -5\n"
+
+        faults(text) shouldBe listOf(
+            "vm.ini: [daemon] nam: unknown key; the nearest is 'name'",
+            "vm.ini: [plattform] : unknown section; the nearest is 'platform'",
+            "vm.ini: [daemon] name: is missing: the VM's name",
+            "vm.ini: [platform] address: is missing: IP number and port of the platform's service",
+            "vm.ini: [limits] body-bytes: '-5' is not a whole number from 1024 to 67108864",
+        )
+    }
+
+    test("an address is an IP number and a port") {
+        faults(good.replace("127.0.0.1:8080", "localhost:8080")) shouldBe
+            listOf("vm.ini: [listen] http: 'localhost:8080' is not an IP number and a port")
+        faults(good.replace("127.0.0.1:8080", "127.0.0.1:99999")) shouldBe
+            listOf("vm.ini: [listen] http: there is no port 99999")
+    }
+})
--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
@@ -0,0 +1,165 @@
+package org.bulrushtack.daemon.testing
+
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
+import org.bulrushtack.core.membership.MemberIdentity
+import org.bulrushtack.daemon.life.Daemon
+import org.bulrushtack.daemon.settings.ProcessSettings
+import org.bulrushtack.daemon.settings.SocketPlace
+import org.bulrushtack.http.ClientRequest
+import org.bulrushtack.http.EventLoops
+import org.bulrushtack.http.HttpClient
+import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.HttpMessageResponse
+import org.bulrushtack.standin.ListenOptions
+import org.bulrushtack.standin.engine.EngineOptions
+import org.bulrushtack.standin.engine.EngineStandIn
+import org.bulrushtack.standin.platform.PlatformOptions
+import org.bulrushtack.standin.platform.PlatformStandIn
+import org.bulrushtack.standin.service.ServiceOptions
+import org.bulrushtack.standin.service.ServiceStandIn
+import java.net.Socket
+import java.security.MessageDigest
+import java.util.concurrent.CompletableFuture
+
+/** A platform, an engine, a booking server and daemons over real sockets in this process. */
+internal class DaemonFixture(
+    daemonCount: Int = 2,
+    engineOptions: EngineOptions = EngineOptions(coldMillis = 0, prefillTokensPerSecond = 1_000_000),
+) : AutoCloseable {
+    private val group = EventLoops.create(2)
+    private val client = HttpClient(group)
+    private val mapper: ObjectMapper = jacksonObjectMapper()
+    private val platform = PlatformStandIn(PlatformOptions(vmLagMillis = 0)).start(ListenOptions())
+    val engine = EngineStandIn(engineOptions).start(ListenOptions())
+    val service = ServiceStandIn(ServiceOptions(coldMillis = 0)).start(ListenOptions())
+    private val daemons = (1..daemonCount).map { newDaemon("vm-$it") }
+
+    init {
+        daemons.forEach { it.start() }
+        daemons.forEachIndexed { index, daemon -> register("vm-${index + 1}", "entry", daemon.httpPort, daemon.peerPort) }
+        register("engine-1", "engine", engine.port, serves = "atlas")
+        register("booking-1", "service", service.port, serves = "booking")
+        await("a configuration") { daemons.all { status(it.httpPort)?.get("configured")?.asBoolean() == true } }
+        edit("/workspaces/dock", "key-hashes", hash(WORKSPACE_KEY))
+        edit("/services/booking", "repeatable-operations", "lookup")
+        await("owners") { daemons.all { daemon -> servers(daemon.httpPort).all { isServed(it) } } }
+    }
+
+    val ports: List<Int> get() = daemons.map { it.httpPort }
+
+    fun platformFaults(json: String) = send(platform.controlPort, "POST", "/control/faults", json)
+
+    fun edit(path: String, key: String, value: String, port: Int = ports.first()): HttpMessageResponse = operator(
+        "POST",
+        "/v1/operator/tree",
+        """{"changes":[{"path":"$path","key":"$key","value":"$value"}]}""",
+        port,
+    )
+
+    fun operator(method: String, path: String, body: String = "", port: Int = ports.first()): HttpMessageResponse =
+        send(port, method, path, body, OPERATOR_KEY)
+
+    fun complete(body: String, port: Int = ports.first(), key: String = WORKSPACE_KEY): HttpMessageResponse =
+        send(port, "POST", "/v1/completions", body, key)
+
+    fun book(idempotencyKey: String?, port: Int, operation: String = "reserve"): CompletableFuture<HttpMessageResponse> {
+        val extra = idempotencyKey?.let { listOf(HttpHeaderList.Header("Idempotency-Key", it)) }.orEmpty()
+        return sendLater(port, "POST", "/v1/services/booking/$operation", """{"party":4}""", WORKSPACE_KEY, extra)
+    }
+
+    fun newIdempotencyKey(): String =
+        json(send(ports.first(), "GET", "/v1/entry", ""))["idempotencyKey"].asText()
+
+    fun runs(): List<String> = json(send(service.controlPort, "GET", "/control/runs", ""))["runs"].map { it["key"].asText() }
+
+    fun send(port: Int, method: String, path: String, body: String, key: String = ""): HttpMessageResponse =
+        sendLater(port, method, path, body, key).join()
+
+    /** Sends bytes as they are and reads until the daemon closes the connection. */
+    fun raw(text: String, port: Int = ports.first()): String = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = RAW_TIMEOUT_MILLIS
+        socket.getOutputStream().write(text.toByteArray())
+        socket.getInputStream().readBytes().decodeToString()
+    }
+
+    fun json(response: HttpMessageResponse): JsonNode = mapper.readTree(response.body)
+
+    override fun close() {
+        daemons.forEach { it.stop() }
+        listOf(platform, engine, service).forEach { it.stop() }
+        group.shutdownGracefully()
+    }
+
+    private fun sendLater(
+        port: Int,
+        method: String,
+        path: String,
+        body: String,
+        key: String,
+        extra: List<HttpHeaderList.Header> = emptyList(),
+    ): CompletableFuture<HttpMessageResponse> {
+        val headers = HttpHeaderList(extra + HttpHeaderList.Header("Authorization", "Bearer $key"))
+        return client.exchange(ClientRequest(method, "127.0.0.1:$port", path, headers, body.toByteArray()))
+            .thenApply { answer -> answer.fold({ error("no answer: ${it.reason}") }, { it }) }
+    }
+
+    private fun status(port: Int): JsonNode? {
+        val response = operator("GET", "/v1/operator/status", port = port)
+        return if (response.status == 200) json(response) else null
+    }
+
+    private fun servers(port: Int): List<JsonNode> = status(port)?.get("servers")?.toList().orEmpty().ifEmpty { listOf(mapper.nullNode()) }
+
+    private fun isServed(server: JsonNode): Boolean {
+        val owner = server["owner"]?.takeUnless { it.isNull } ?: return false
+        return !server["ownedHere"].asBoolean() || (owner.isTextual && server["share"].asDouble() == 1.0)
+    }
+
+    private fun register(name: String, kind: String, port: Int, peerPort: Int = 0, serves: String = "") {
+        val row = """{"name":"$name","kind":"$kind","dataCentre":"a","state":"live","http":"127.0.0.1:$port",
+            "peer":"${if (peerPort == 0) "" else "127.0.0.1:$peerPort"}","serves":["$serves"]}"""
+        send(platform.controlPort, "POST", "/control/vms", row)
+    }
+
+    private fun newDaemon(name: String): Daemon = Daemon(
+        settings = ProcessSettings(
+            name = name,
+            dataCentre = "a",
+            httpListen = SocketPlace("127.0.0.1", 0),
+            peerListen = SocketPlace("127.0.0.1", 0),
+            platformAddress = "127.0.0.1:${platform.port}",
+            bootstrapKeyHash = hash(OPERATOR_KEY),
+            logLevel = "warn",
+            bodyBytes = 100_000,
+            headerBytes = 4_096,
+            requestMillis = 500,
+            drainMillis = 1_000,
+            networkThreads = 2,
+        ),
+        identity = MemberIdentity(name, "life-1", "a"),
+        seed = 1,
+    )
+
+    companion object {
+        const val OPERATOR_KEY = "operator-key"
+        const val WORKSPACE_KEY = "workspace-key"
+
+        fun hash(key: String): String =
+            MessageDigest.getInstance("SHA-256").digest(key.toByteArray()).joinToString("") { "%02x".format(it) }
+
+        /** Asks again until [condition] holds; fails after a bound that no healthy run comes near. */
+        fun await(what: String, condition: () -> Boolean) {
+            repeat(AWAIT_TRIES) {
+                if (condition()) return
+                java.util.concurrent.locks.LockSupport.parkNanos(AWAIT_NANOS)
+            }
+            error("$what did not come")
+        }
+    }
+}
+
+private const val RAW_TIMEOUT_MILLIS = 20_000
+private const val AWAIT_TRIES = 1_200
+private const val AWAIT_NANOS = 50_000_000L
