--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/Ledger.kt
@@ -1,7 +1,5 @@
 package org.bulrushtack.core.dispatch
 
-import org.bulrushtack.core.server.ServerSettings
-
 /**
  * What an owner knows of one backend server: what it holds, how much it bears, and what waits for it. Memory is
  * charged before dispatch and freed only by the server's word or by its new incarnation.
@@ -75,39 +73,6 @@
     /** Tokens charged for this daemon's dispatches. */
     public fun ownTokens(): Long = running.values.sumOf { it.work.reservedTokens }
 
-    /** The whole bound on requests at once, for all senders together. */
-    public fun bound(settings: ServerSettings, nowMillis: Long): Int {
-        val rampSince = rampSinceMillis
-        return when {
-            !listed || incarnation == null -> 0
-            cold || rampSince == null || suspectSinceMillis != null -> settings.coldConcurrency
-            else -> rampBound(settings = settings, elapsedMillis = nowMillis - rampSince)
-        }
-    }
-
-    /**
-     * Whether one more request fits under the bound and this daemon's share of it. Dispatches that the server has
-     * not acknowledged are no more than it bears when cold, since it may have turned cold without a word.
-     */
-    public fun hasRoom(settings: ServerSettings, nowMillis: Long): Boolean {
-        val bound = bound(settings = settings, nowMillis = nowMillis)
-        val fitsBound = running.size < (bound * share).toInt() && running.size + foreign.size < bound
-        val unacknowledged = running.values.count { !it.acknowledged }
-        return fitsBound && unacknowledged < (settings.coldConcurrency * share).toInt()
-    }
-
-    /** Whether [work] fits into the server's memory, its own share of it, and the part that long work may take. */
-    public fun fitsMemory(work: Work, settings: ServerSettings): Boolean {
-        val tokens = work.reservedTokens
-        if (tokens == 0L) return true
-        val fitsShare = ownTokens() + tokens <= (capacityTokens * share).toLong()
-        return fitsShare && heldTokens() + tokens <= capacityTokens && fitsLongShare(tokens, settings)
-    }
-
-    /** Whether [work] waits only for other long work to end. */
-    public fun waitsForLongShare(work: Work, settings: ServerSettings): Boolean =
-        !fitsLongShare(work.reservedTokens, settings)
-
     /** Takes over the server anew: nothing is known of it until its list was read. */
     public fun reset() {
         share = NO_SHARE
@@ -152,20 +117,6 @@
         suspectSinceMillis = nowMillis
     }
 
-    private fun rampBound(settings: ServerSettings, elapsedMillis: Long): Int {
-        val floor = maxOf(settings.coldConcurrency, rampFloor)
-        val length = maxOf(1, settings.rampMillis)
-        val risen = (settings.warmConcurrency - floor) * minOf(elapsedMillis, length) / length
-        return minOf(settings.warmConcurrency, floor + risen.toInt())
-    }
-
-    private fun fitsLongShare(tokens: Long, settings: ServerSettings): Boolean {
-        if (tokens <= settings.longTokens) return true
-        val longTokens = running.values.map { it.work.reservedTokens }.filter { it > settings.longTokens }.sum()
-        val limit = capacityTokens * settings.longSharePercent / PERCENT
-        return longTokens == 0L || longTokens + tokens <= limit
-    }
-
     /**
      * One dispatch.
      *
@@ -196,5 +147,4 @@
     }
 }
 
-private const val PERCENT = 100
 private const val SETTLING_MILLIS = 500L
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/QueueAdmission.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/QueueAdmission.kt
@@ -30,7 +30,7 @@
     private fun expectedMillis(work: Work, ledger: Ledger, server: BackendServer, nowMillis: Long): Long {
         val rank = policy.rank(work)
         val aheadMillis = ledger.queue.filter { policy.rank(it) <= rank }.sumOf { it.expectedMillis }
-        val lanes = maxOf(1, ledger.bound(settings = server.settings, nowMillis = nowMillis))
+        val lanes = maxOf(1, ServerBounds(ledger = ledger, settings = server.settings).requests(nowMillis))
         return aheadMillis / lanes + work.expectedMillis
     }
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/QueuePump.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/QueuePump.kt
@@ -26,15 +26,16 @@
         Action.RefuseWork(id = work.id, problem = Problem(kind = kind))
 
     private fun start(ledger: Ledger, server: BackendServer, nowMillis: Long): List<Action> {
+        val bounds = ServerBounds(ledger = ledger, settings = server.settings)
         val actions = mutableListOf<Action>()
         val waiting = ledger.queue.iterator()
         var blocked = false
-        while (waiting.hasNext() && ledger.hasRoom(settings = server.settings, nowMillis = nowMillis)) {
+        while (waiting.hasNext() && bounds.hasRoom(nowMillis)) {
             val work = waiting.next()
-            if (ledger.fitsMemory(work = work, settings = server.settings)) {
+            if (bounds.fitsMemory(work)) {
                 waiting.remove()
                 actions += start(work = work, ledger = ledger, server = server, nowMillis = nowMillis)
-            } else if (!blocked && !ledger.waitsForLongShare(work = work, settings = server.settings)) {
+            } else if (!blocked && !bounds.waitsForLongShare(work)) {
                 blocked = true
                 if (mustNotBypass(ledger = ledger, nowMillis = nowMillis)) break
             }
--- a/core/src/test/kotlin/org/bulrushtack/core/call/IdempotencyKeyTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/call/IdempotencyKeyTest.kt
@@ -1,19 +1,21 @@
 package org.bulrushtack.core.call
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.error.ErrorKind
 
-class IdempotencyKeyTest : FunSpec({
-    test("a made key is read back with its time") {
+class IdempotencyKeyTest : AnnotationSpec() {
+    @Test
+    fun `a made key is read back with its time`() {
         val key = IdempotencyKey.make(nowMillis = 1_796_356_034_994, random = -1L to -1L)
 
         IdempotencyKey.parse(key.text).getOrNull() shouldBe key
     }
 
-    test("a UUID of another version, or none, is refused") {
+    @Test
+    fun `a UUID of another version, or none, is refused`() {
         listOf("9f1b7c1e-6f0a-4c39-9d0c-0a3c5f6b7a11", "", "key-1").forEach { text ->
             IdempotencyKey.parse(text).leftOrNull() shouldBe ErrorKind.KEY_MALFORMED
         }
     }
-})
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/control/FaultPropertyTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/control/FaultPropertyTest.kt
@@ -2,16 +2,15 @@
 
 import io.kotest.assertions.withClue
 import io.kotest.common.ExperimentalKotest
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
 import io.kotest.matchers.maps.shouldContainKey
+import io.kotest.property.Arb
 import io.kotest.property.PropTestConfig
-import io.kotest.property.PropertyTesting
 import io.kotest.property.arbitrary.long
-import io.kotest.property.Arb
 import io.kotest.property.checkAll
 import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.log.FoldOutcome
@@ -20,12 +19,12 @@
 
 /** Draws interleavings of faults over several daemons; a failure prints the seed, `-Dseed=N` hands it in again. */
 @OptIn(ExperimentalKotest::class)
-class FaultPropertyTest : FunSpec({
-    val seed = System.getProperty("seed")?.toLong() ?: 20_261_204L
-    val config = PropTestConfig(seed = seed, iterations = System.getProperty("iterations")?.toInt() ?: 40)
-    PropertyTesting.defaultSeed = seed
+class FaultPropertyTest : AnnotationSpec() {
+    private val seed = System.getProperty("seed")?.toLong() ?: 20_261_204L
+    private val config = PropTestConfig(seed = seed, iterations = System.getProperty("iterations")?.toInt() ?: 40)
 
-    test("a booking runs at most once and 'not run' is true") {
+    @Test
+    suspend fun `a booking runs at most once and 'not run' is true`() {
         checkAll(config, Arb.long()) { draw ->
             val system = FakeSystem(seed = draw, daemonCount = 3)
             val faults = Faults(system)
@@ -52,7 +51,8 @@
         }
     }
 
-    test("a request whose daemon lives is answered or refused by its deadline") {
+    @Test
+    suspend fun `a request whose daemon lives is answered or refused by its deadline`() {
         checkAll(config, Arb.long()) { draw ->
             val system = FakeSystem(seed = draw, daemonCount = 3)
             val faults = Faults(system)
@@ -77,7 +77,8 @@
         }
     }
 
-    test("configuration never reverts, is decided alike everywhere, and is in force within 7 seconds") {
+    @Test
+    suspend fun `configuration never reverts, is decided alike everywhere, and is in force within 7 seconds`() {
         checkAll(config, Arb.long()) { draw ->
             val system = FakeSystem(seed = draw, daemonCount = 4)
             val faults = Faults(system)
@@ -108,7 +109,8 @@
         }
     }
 
-    test("a cold backend server gets no more than it bears and no engine more than its memory") {
+    @Test
+    suspend fun `a cold backend server gets no more than it bears and no engine more than its memory`() {
         checkAll(config, Arb.long()) { draw ->
             val system = FakeSystem(seed = draw, daemonCount = 5)
             val faults = Faults(system, restartsServers = true)
@@ -133,7 +135,7 @@
             }
         }
     }
-})
+}
 
 private const val STARTUP_MILLIS = 8_000L
 private const val DEADLINE_MILLIS = 30_000L
--- a/core/src/test/kotlin/org/bulrushtack/core/dispatch/LedgerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/dispatch/ServerBoundsTest.kt
@@ -1,11 +1,11 @@
 package org.bulrushtack.core.dispatch
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.server.ServerSettings
 
-class LedgerTest : FunSpec({
-    val settings = ServerSettings(
+class ServerBoundsTest : AnnotationSpec() {
+    private val settings = ServerSettings(
         coldConcurrency = 2,
         warmConcurrency = 10,
         rampMillis = 1_000,
@@ -16,14 +16,23 @@
         decodeTokensPerSecond = 10,
     )
 
-    fun work(number: Int, tokens: Long = 1_000) =
-        Work(WorkId("request-$number", 1), "engine", "dock", tokens, 100, receivedAtMillis = 0, deadlineAtMillis = 9_999)
+    private fun bounds(ledger: Ledger) = ServerBounds(ledger, settings)
 
-    fun Ledger.run(work: Work, acknowledged: Boolean = true) {
+    private fun work(number: Int, tokens: Long = 1_000) = Work(
+        id = WorkId("request-$number", 1),
+        server = "engine",
+        workspace = "dock",
+        reservedTokens = tokens,
+        expectedMillis = 100,
+        receivedAtMillis = 0,
+        deadlineAtMillis = 9_999,
+    )
+
+    private fun Ledger.run(work: Work, acknowledged: Boolean = true) {
         running[work.id] = Ledger.Charge(work, startedAtMillis = 0, acknowledged = acknowledged)
     }
 
-    fun warmLedger() = Ledger("engine").apply {
+    private fun warmLedger() = Ledger("engine").apply {
         incarnation = "life"
         listAskedAtMillis = 0
         capacityTokens = 100_000
@@ -32,45 +41,50 @@
         rampSinceMillis = 0
     }
 
-    test("a server that was not listed gets nothing, and a cold one its cold bound") {
+    @Test
+    fun `a server that was not listed gets nothing, and a cold one its cold bound`() {
         val testSubject = Ledger("engine")
-        testSubject.bound(settings, nowMillis = 0) shouldBe 0
+        bounds(testSubject).requests(0) shouldBe 0
 
         testSubject.listAskedAtMillis = 0
         testSubject.incarnation = "life"
 
-        testSubject.bound(settings, nowMillis = 50_000) shouldBe 2
+        bounds(testSubject).requests(50_000) shouldBe 2
     }
 
-    test("the bound rises over the ramp and not beyond") {
+    @Test
+    fun `the bound rises over the ramp and not beyond`() {
         val testSubject = warmLedger()
 
-        listOf(0L, 500L, 1_000L, 9_000L).map { testSubject.bound(settings, it) } shouldBe listOf(2, 6, 10, 10)
+        listOf(0L, 500L, 1_000L, 9_000L).map { bounds(testSubject).requests(it) } shouldBe listOf(2, 6, 10, 10)
     }
 
-    test("no more dispatches are unacknowledged than a cold server bears") {
+    @Test
+    fun `no more dispatches are unacknowledged than a cold server bears`() {
         val testSubject = warmLedger()
         testSubject.run(work(1), acknowledged = false)
-        testSubject.hasRoom(settings, nowMillis = 1_000) shouldBe true
+        bounds(testSubject).hasRoom(nowMillis = 1_000) shouldBe true
 
         testSubject.run(work(2), acknowledged = false)
-        testSubject.hasRoom(settings, nowMillis = 1_000) shouldBe false
+        bounds(testSubject).hasRoom(nowMillis = 1_000) shouldBe false
 
         testSubject.acknowledge(work(1).id)
-        testSubject.hasRoom(settings, nowMillis = 1_000) shouldBe true
+        bounds(testSubject).hasRoom(nowMillis = 1_000) shouldBe true
     }
 
-    test("long work takes no more than its share of memory, unless nothing long runs") {
+    @Test
+    fun `long work takes no more than its share of memory, unless nothing long runs`() {
         val testSubject = warmLedger()
-        testSubject.fitsMemory(work(1, tokens = 90_000), settings) shouldBe true
+        bounds(testSubject).fitsMemory(work(1, tokens = 90_000)) shouldBe true
 
         testSubject.run(work(1, tokens = 40_000))
 
-        testSubject.fitsMemory(work(2, tokens = 31_000), settings) shouldBe false
-        testSubject.fitsMemory(work(3, tokens = 30_000), settings) shouldBe true
+        bounds(testSubject).fitsMemory(work(2, tokens = 31_000)) shouldBe false
+        bounds(testSubject).fitsMemory(work(3, tokens = 30_000)) shouldBe true
     }
 
-    test("a higher share counts only after a fresh list") {
+    @Test
+    fun `a higher share counts only after a fresh list`() {
         val testSubject = warmLedger()
         testSubject.grant(allowed = Ledger.HALF_SHARE, nowMillis = 2_000)
         testSubject.share shouldBe Ledger.HALF_SHARE
@@ -82,4 +96,4 @@
         testSubject.grant(allowed = Ledger.FULL_SHARE, nowMillis = 3_600)
         testSubject.share shouldBe Ledger.FULL_SHARE
     }
-})
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/error/ErrorKindTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/error/ErrorKindTest.kt
@@ -1,14 +1,15 @@
 package org.bulrushtack.core.error
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeIn
 import io.kotest.matchers.collections.shouldBeUnique
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldEndWith
 import io.kotest.matchers.string.shouldMatch
 
-class ErrorKindTest : FunSpec({
-    test("every kind has a code of its own that leads back to it") {
+class ErrorKindTest : AnnotationSpec() {
+    @Test
+    fun `every kind has a code of its own that leads back to it`() {
         ErrorKind.entries.map { it.code }.shouldBeUnique()
         ErrorKind.entries.forEach { kind ->
             kind.code shouldMatch Regex("[a-z]+(-[a-z]+)*")
@@ -16,14 +17,16 @@
         }
     }
 
-    test("every kind has an error status and a sentence") {
+    @Test
+    fun `every kind has an error status and a sentence`() {
         ErrorKind.entries.forEach { kind ->
             (kind.status in 400..599) shouldBe true
             kind.text shouldEndWith "."
         }
     }
 
-    test("only kinds that are found before any byte can reach a backend server say that nothing ran") {
+    @Test
+    fun `only kinds that are found before any byte can reach a backend server say that nothing ran`() {
         val afterDispatch = setOf(
             ErrorKind.KEY_EXPIRED,
             ErrorKind.CALL_UNDECIDED,
@@ -38,13 +41,15 @@
         ErrorKind.entries.filter { it.ran != RunState.NO }.toSet() shouldBe afterDispatch
     }
 
-    test("a kind whose outcome is unknown never advises a plain retry of a call") {
+    @Test
+    fun `a kind whose outcome is unknown never advises a plain retry of a call`() {
         ErrorKind.entries.filter { it.ran == RunState.UNKNOWN && it != ErrorKind.EDIT_UNCONFIRMED }.forEach { kind ->
             kind.retry shouldBeIn listOf(RetryAdvice.SAME_KEY, RetryAdvice.NEVER)
         }
     }
 
-    test("an unknown code stands for an unknown outcome") {
+    @Test
+    fun `an unknown code stands for an unknown outcome`() {
         ErrorKind.fromCode("from-a-later-version") shouldBe ErrorKind.INTERNAL
     }
-})
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/log/LogFolderTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/log/LogFolderTest.kt
@@ -1,27 +1,28 @@
 package org.bulrushtack.core.log
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.settings.SettingAddress
 import org.bulrushtack.core.settings.SettingChange
 import org.bulrushtack.core.settings.SettingsPath
 
-class LogFolderTest : FunSpec({
-    val dock = SettingsPath.ROOT.child("workspaces").child("dock")
-    val address = SettingAddress(dock, "max-running")
-    val call = CallKey("dock", "booking", "key")
+class LogFolderTest : AnnotationSpec() {
+    private val dock = SettingsPath.ROOT.child("workspaces").child("dock")
+    private val address = SettingAddress(dock, "max-running")
+    private val call = CallKey("dock", "booking", "key")
 
-    fun edit(id: String, value: String, version: Long) =
+    private fun edit(id: String, value: String, version: Long) =
         SettingsEdit(id, "operator", listOf(SettingChange(address, value, version)))
 
-    fun claim(id: String) = CallClaim(id, call, "vm-1", "life", "fingerprint")
+    private fun claim(id: String) = CallClaim(id, call, "vm-1", "life", "fingerprint")
 
-    fun LogFolder.foldAll(vararg records: LogRecord): List<FoldOutcome> = records.map { record ->
+    private fun LogFolder.foldAll(vararg records: LogRecord): List<FoldOutcome> = records.map { record ->
         fold(LogEntry(appliedOffset + 1, appendedAtMillis = 1_000, record))!!.outcome
     }
 
-    test("the first of two edits that saw the same version wins") {
+    @Test
+    fun `the first of two edits that saw the same version wins`() {
         val testSubject = LogFolder()
 
         val outcomes = testSubject.foldAll(edit("a", "10", 0), edit("b", "20", 0), edit("c", "30", 1))
@@ -34,7 +35,8 @@
         testSubject.tree.resolve(dock, "max-running").value shouldBe "30"
     }
 
-    test("a record that stands twice folds as once") {
+    @Test
+    fun `a record that stands twice folds as once`() {
         val testSubject = LogFolder()
 
         val outcomes = testSubject.foldAll(edit("a", "10", 0), edit("b", "20", 1), edit("a", "10", 0))
@@ -43,7 +45,8 @@
         testSubject.tree.resolve(dock, "max-running").value shouldBe "20"
     }
 
-    test("an entry at or below the applied offset is passed over") {
+    @Test
+    fun `an entry at or below the applied offset is passed over`() {
         val testSubject = LogFolder()
         testSubject.foldAll(edit("a", "10", 0), edit("b", "20", 1))
 
@@ -53,7 +56,8 @@
         testSubject.appliedOffset shouldBe 2
     }
 
-    test("a removed value leaves its version, so that an edit that saw none is stale") {
+    @Test
+    fun `a removed value leaves its version, so that an edit that saw none is stale`() {
         val testSubject = LogFolder()
         val unset = SettingsEdit("b", "operator", listOf(SettingChange(address, null, 1)))
 
@@ -63,7 +67,8 @@
         testSubject.tree.resolve(dock, "max-running").source.shouldBeNull()
     }
 
-    test("one claim of a call wins, and only its own outcome counts") {
+    @Test
+    fun `one claim of a call wins, and only its own outcome counts`() {
         val testSubject = LogFolder()
         val foreign = CallOutcome("x", call, claimId = "b", known = true, answer = null)
         val own = CallOutcome("y", call, claimId = "a", known = true, answer = null)
@@ -79,7 +84,8 @@
         testSubject.claims.find(call)?.outcome shouldBe own
     }
 
-    test("a released claim frees the key, and a release after the outcome does not") {
+    @Test
+    fun `a released claim frees the key, and a release after the outcome does not`() {
         val testSubject = LogFolder()
         val outcome = CallOutcome("y", call, claimId = "b", known = false, answer = null)
 
@@ -95,7 +101,8 @@
         testSubject.claims.find(call)?.outcome shouldBe outcome
     }
 
-    test("claims expire by the platform's clock") {
+    @Test
+    fun `claims expire by the platform's clock`() {
         val testSubject = LogFolder()
         testSubject.fold(LogEntry(1, 1_000, claim("a")))
 
@@ -104,7 +111,8 @@
         testSubject.claims.find(call).shouldBeNull()
     }
 
-    test("an ownership claim names the epoch that it replaces") {
+    @Test
+    fun `an ownership claim names the epoch that it replaces`() {
         val testSubject = LogFolder()
 
         val outcomes = testSubject.foldAll(
@@ -119,7 +127,8 @@
         testSubject.owners.find("engine")?.predecessors shouldBe listOf(OwnerEntry.Predecessor("vm-1", "life"))
     }
 
-    test("a folder that starts from a snapshot goes on as one that folded everything") {
+    @Test
+    fun `a folder that starts from a snapshot goes on as one that folded everything`() {
         val records = arrayOf(edit("a", "10", 0), claim("c"), OwnershipClaim("o", "engine", "vm-1", "life", 0))
         val whole = LogFolder().apply { foldAll(*records) }
         val testSubject = LogFolder()
@@ -131,7 +140,8 @@
         testSubject.state() shouldBe whole.state()
     }
 
-    test("the history hides keys") {
+    @Test
+    fun `the history hides keys`() {
         val testSubject = LogFolder()
         val hash = "a".repeat(64)
         val secret = SettingChange(SettingAddress(dock, "key-hashes"), hash, 0)
@@ -141,4 +151,4 @@
         testSubject.edits.all().single().changes.single().value shouldBe "(hidden)"
         testSubject.tree.ownerOfKeyHash(hash) shouldBe dock
     }
-})
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/settings/SettingsSchemaTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/settings/SettingsSchemaTest.kt
@@ -1,30 +1,36 @@
 package org.bulrushtack.core.settings
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 
-class SettingsSchemaTest : FunSpec({
-    fun path(text: String) = SettingsPath.parse(text).getOrNull()!!
+class SettingsSchemaTest : AnnotationSpec() {
+    private fun path(text: String) = SettingsPath.parse(text).getOrNull()!!
 
-    test("every default has its own type") {
+    @Test
+    fun `every default has its own type`() {
         SettingsSchema.specifications.forEach { it.type.fault(it.default).shouldBeNull() }
     }
 
-    test("a mistyped setting names the nearest right one") {
-        SettingsSchema.fault(path("/workspaces/dock"), "max-runing", "1").shouldNotBeNull() shouldContain "'max-running'"
+    @Test
+    fun `a mistyped setting names the nearest right one`() {
+        val fault = SettingsSchema.fault(path("/workspaces/dock"), "max-runing", "1")
+
+        fault.shouldNotBeNull() shouldContain "'max-running'"
     }
 
-    test("a value out of range, at a wrong branch, or an inherited secret is a fault") {
+    @Test
+    fun `a value out of range, at a wrong branch, or an inherited secret is a fault`() {
         SettingsSchema.fault(path("/workspaces/dock"), "max-running", "-1").shouldNotBeNull() shouldContain "between"
         SettingsSchema.fault(path("/data-centres/a"), "max-running", "5").shouldNotBeNull() shouldContain "no meaning"
         SettingsSchema.fault(path("/workspaces"), "key-hashes", "").shouldNotBeNull() shouldContain "inherited"
         SettingsSchema.fault(path("/places/a"), "state", "out").shouldNotBeNull() shouldContain "unknown branch"
     }
 
-    test("a value is the branch's own, else the nearest parent's, else the default") {
+    @Test
+    fun `a value is the branch's own, else the nearest parent's, else the default`() {
         val tree = SettingsTree().apply(
             changes = listOf(
                 SettingChange(SettingAddress(path("/backend-servers"), "ramp-seconds"), "5", 0),
@@ -39,7 +45,8 @@
         tree.children(path("/backend-servers")) shouldBe listOf("engine-1")
     }
 
-    test("a path with a wrong name is refused") {
+    @Test
+    fun `a path with a wrong name is refused`() {
         SettingsPath.parse("/workspaces/Dock Team").leftOrNull().shouldNotBeNull() shouldContain "Dock Team"
     }
-})
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeLog.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeLog.kt
@@ -21,9 +21,9 @@
     fun append(records: List<LogRecord>): AppendResult {
         if (outage) return AppendResult.UNKNOWN
         records.forEach { entries.add(LogEntry(tailOffset + 1, clock.nowMillis, it)) }
-        if (answersToLose == 0) return AppendResult.ACCEPTED
-        answersToLose--
-        return AppendResult.UNKNOWN
+        val lost = answersToLose > 0
+        if (lost) answersToLose--
+        return if (lost) AppendResult.UNKNOWN else AppendResult.ACCEPTED
     }
 
     fun after(offset: Long): List<LogEntry> = entries.drop(offset.toInt())
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeServer.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeServer.kt
@@ -22,8 +22,6 @@
         private set
     var mostHeldTokens = 0L
         private set
-    var mostWhileWarm = 0
-        private set
     var lastStartAtMillis = 0L
         private set
 
@@ -36,7 +34,7 @@
     fun start(request: RunningList.RunningRequest) {
         running[request.id] = request
         lastStartAtMillis = clock.nowMillis
-        if (isCold) mostWhileCold = maxOf(mostWhileCold, running.size) else mostWhileWarm = maxOf(mostWhileWarm, running.size)
+        if (isCold) mostWhileCold = maxOf(mostWhileCold, running.size)
         mostHeldTokens = maxOf(mostHeldTokens, running.values.sumOf { it.reservedTokens })
     }
 
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeSystem.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeSystem.kt
@@ -10,6 +10,7 @@
 import org.bulrushtack.core.dispatch.WorkId
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.log.AppendResult
 import org.bulrushtack.core.log.CallAnswer
 import org.bulrushtack.core.log.LogEntry
 import org.bulrushtack.core.log.SettingsEdit
@@ -108,7 +109,8 @@
 
     fun edit(daemon: FakeDaemon, path: String, key: String, value: String?, version: Long): String {
         val address = SettingAddress(SettingsPath.parse(path).getOrNull()!!, key)
-        val edit = SettingsEdit("edit/${edits.size}/${requests++}", "operator", listOf(SettingChange(address, value, version)))
+        val changes = listOf(SettingChange(address, value, version))
+        val edit = SettingsEdit("edit/${requests++}", "operator", changes)
         daemon.receive(Event.EditRequested(edit))
         return edit.id
     }
@@ -147,7 +149,7 @@
     private fun append(daemon: FakeDaemon, action: Action.AppendRecords) = later {
         val ids = action.records.map { it.id }
         val cut = daemon.cutFromLog
-        val result = if (cut) org.bulrushtack.core.log.AppendResult.UNKNOWN else log.append(action.records)
+        val result = if (cut) AppendResult.UNKNOWN else log.append(action.records)
         later { daemon.receive(Event.AppendAnswered(ids, result)) }
     }
 
@@ -228,28 +230,35 @@
         daemon.receive(Event.WorkEnded(work.id, ending))
         if (daemon.alive && !daemon.paused && owners.remove(work.id) != null) {
             val lost = ending.kind == WorkEnding.Kind.LOST
-            later { takerOf(work.id)?.receive(if (lost) failure(work.id, Problem(ErrorKind.BACKEND_LOST)) else success(work.id)) }
+            val outcome = if (lost) failure(work.id, Problem(ErrorKind.BACKEND_LOST)) else success(work.id)
+            later { takerOf(work.id)?.receive(outcome) }
         }
     }
 
     private fun completion(daemon: FakeDaemon, action: Action.CompletionAction) = when (action) {
-        is Action.FailRequest -> outcomes[action.requestId] = Outcome(problem = action.problem, atMillis = clock.nowMillis)
+        is Action.FailRequest -> conclude(action.requestId, action.problem)
         is Action.SendAttempt -> {
             val request = daemon.blackboard.requests.active.getValue(action.requestId).request
             val id = WorkId(action.requestId, action.attempt)
-            submit(daemon, action.ownerAddress, work(id, action.server, request.reservedTokens, request.deadlineAtMillis))
+            val work = work(id, action.server, request.reservedTokens, request.deadlineAtMillis)
+            submit(daemon, action.ownerAddress, work)
         }
     }
 
     private fun call(daemon: FakeDaemon, action: Action.CallAction) = when (action) {
-        is Action.AnswerCall -> outcomes[action.requestId] = Outcome(problem = null, atMillis = clock.nowMillis)
-        is Action.FailCall -> outcomes[action.requestId] = Outcome(problem = action.problem, atMillis = clock.nowMillis)
+        is Action.AnswerCall -> conclude(action.requestId, problem = null)
+        is Action.FailCall -> conclude(action.requestId, action.problem)
         is Action.SendCall -> {
             val deadline = calls.getValue(action.requestId).deadlineAtMillis
-            submit(daemon, action.ownerAddress, work(WorkId(action.requestId, action.attempt), action.server, 0, deadline))
+            val id = WorkId(action.requestId, action.attempt)
+            submit(daemon, action.ownerAddress, work(id, action.server, tokens = 0, deadlineAtMillis = deadline))
         }
     }
 
+    private fun conclude(requestId: String, problem: Problem?) {
+        outcomes[requestId] = Outcome(problem = problem, atMillis = clock.nowMillis)
+    }
+
     private fun submit(daemon: FakeDaemon, ownerAddress: String, work: Work) = later {
         val owner = if (ownerAddress.isEmpty()) daemon else reachable(daemon, ownerAddress.substringBefore(':'))
         if (owner == null) {
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/Faults.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/Faults.kt
@@ -5,23 +5,25 @@
     private val system: FakeSystem,
     private val restartsServers: Boolean = false,
 ) {
+    private val draws: List<() -> Unit> = listOf(
+        ::killOne,
+        { system.daemons.values.firstOrNull { !it.alive }?.let { system.restart(it.name) } },
+        ::pauseOne,
+        { system.log.outage = !system.log.outage },
+        { system.log.answersToLose = 2 },
+        { someDaemon().let { it.cutFromLog = !it.cutFromLog } },
+        { someDaemon().let { it.cutFromPeers = !it.cutFromPeers } },
+        { someServer().answersToLose = 1 },
+        { system.advance(system.random.nextLong(100, 6_000)) },
+        { if (restartsServers) someServer().restart() else system.advance(1_000) },
+    )
+
     var longestPauseMillis = 0L
         private set
 
     /** One fault or a stretch of peace. */
     fun step() {
-        when (system.random.nextInt(if (restartsServers) 12 else 10)) {
-            0 -> killOne()
-            1 -> system.daemons.values.firstOrNull { !it.alive }?.let { system.restart(it.name) }
-            2 -> pauseOne()
-            3 -> system.log.outage = !system.log.outage
-            4 -> system.log.answersToLose = 2
-            5 -> system.live().random(system.random).let { it.cutFromLog = !it.cutFromLog }
-            6 -> system.live().random(system.random).let { it.cutFromPeers = !it.cutFromPeers }
-            7 -> system.servers.values.random(system.random).answersToLose = 1
-            8, 9 -> system.advance(system.random.nextLong(100, 6_000))
-            else -> system.servers.values.random(system.random).restart()
-        }
+        draws.random(system.random)()
         system.advance(system.random.nextLong(1, 400))
     }
 
@@ -37,12 +39,16 @@
         }
     }
 
+    private fun someDaemon(): FakeDaemon = system.live().random(system.random)
+
+    private fun someServer(): FakeServer = system.servers.values.random(system.random)
+
     private fun killOne() {
-        if (system.live().size > 1) system.kill(system.live().random(system.random).name)
+        if (system.live().size > 1) system.kill(someDaemon().name)
     }
 
     private fun pauseOne() {
-        val daemon = system.live().random(system.random)
+        val daemon = someDaemon()
         val millis = system.random.nextLong(100, 12_000)
         longestPauseMillis = maxOf(longestPauseMillis, millis)
         daemon.paused = true
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/front/CallerInterfaceTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/front/CallerInterfaceTest.kt
@@ -1,6 +1,6 @@
 package org.bulrushtack.daemon.front
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
@@ -8,19 +8,26 @@
 import io.kotest.matchers.string.shouldStartWith
 import org.bulrushtack.daemon.testing.DaemonFixture
 
-class CallerInterfaceTest : FunSpec({
-    lateinit var system: DaemonFixture
+class CallerInterfaceTest : AnnotationSpec() {
+    private lateinit var system: DaemonFixture
 
-    beforeSpec { system = DaemonFixture() }
+    @BeforeAll
+    fun startSystem() {
+        system = DaemonFixture()
+    }
 
-    afterSpec { system.close() }
+    @AfterAll
+    fun stopSystem() {
+        system.close()
+    }
 
-    fun kind(body: String, key: String = DaemonFixture.WORKSPACE_KEY): Pair<Int, String> {
+    private fun kind(body: String, key: String = DaemonFixture.WORKSPACE_KEY): Pair<Int, String> {
         val response = system.complete(body = body, key = key)
         return response.status to system.json(response)["kind"].asText()
     }
 
-    test("a whole answer comes from any daemon") {
+    @Test
+    fun `a whole answer comes from any daemon`() {
         system.ports.forEach { port ->
             val answer = system.complete("""{"model":"atlas","prompt":"hello there","max_tokens":5}""", port)
 
@@ -32,7 +39,8 @@
         }
     }
 
-    test("a streamed answer ends with its usage and DONE") {
+    @Test
+    fun `a streamed answer ends with its usage and DONE`() {
         val answer = system.complete("""{"model":"atlas","prompt":"hello there","max_tokens":3,"stream":true}""")
 
         answer.contentType shouldBe "text/event-stream"
@@ -41,7 +49,8 @@
         events[events.size - 2] shouldContain """"completion_tokens":3"""
     }
 
-    test("bad input gets its own kind, and the daemon goes on serving") {
+    @Test
+    fun `bad input gets its own kind, and the daemon goes on serving`() {
         kind("no json") shouldBe (400 to "malformed-request")
         kind("""{"model":"atlas"}""") shouldBe (400 to "malformed-request")
         kind("""{"model":"atlas","prompt":"x","max_tokens":-1}""") shouldBe (400 to "invalid-limit")
@@ -55,21 +64,25 @@
         system.complete("""{"model":"atlas","prompt":"x","max_tokens":1}""").status shouldBe 200
     }
 
-    test("a wrong key is refused and does not come back") {
+    @Test
+    fun `a wrong key is refused and does not come back`() {
         val answer = system.complete("""{"model":"atlas","prompt":"x"}""", key = "wrong-key")
 
         answer.status shouldBe 401
         system.json(answer)["ran"].asText() shouldBe "no"
         answer.text() shouldNotContain "wrong-key"
-        system.send(system.ports.first(), "GET", "/v1/operator/status", "", DaemonFixture.WORKSPACE_KEY).status shouldBe 401
+        val port = system.ports.first()
+        system.send(port, "GET", "/v1/operator/status", "", DaemonFixture.WORKSPACE_KEY).status shouldBe 401
     }
 
-    test("an unknown path and a wrong method have their own kinds") {
+    @Test
+    fun `an unknown path and a wrong method have their own kinds`() {
         system.send(system.ports.first(), "GET", "/v2/entry", "").status shouldBe 404
         system.send(system.ports.first(), "DELETE", "/v1/entry", "").status shouldBe 405
     }
 
-    test("a header flood, a body that stops half-way and a malformed line are refused") {
+    @Test
+    fun `a header flood, a body that stops half-way and a malformed line are refused`() {
         val head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
         system.raw(head + "x-flood: ${"y".repeat(8_192)}\r\n\r\n") shouldStartWith "HTTP/1.1 431"
         system.raw(head + "Content-Length: 50\r\n\r\nhalf") shouldStartWith "HTTP/1.1 408"
@@ -79,7 +92,8 @@
         system.complete("""{"model":"atlas","prompt":"x","max_tokens":1}""").status shouldBe 200
     }
 
-    test("two daemons given one key at once run the booking once") {
+    @Test
+    fun `two daemons given one key at once run the booking once`() {
         val key = system.newIdempotencyKey()
 
         val answers = system.ports.map { system.book(idempotencyKey = key, port = it) }.map { it.join() }
@@ -89,7 +103,8 @@
         system.runs().count { it == key } shouldBe 1
     }
 
-    test("a booking needs a key of version 7, and an operation that may be repeated needs none") {
+    @Test
+    fun `a booking needs a key of version 7, and an operation that may be repeated needs none`() {
         val port = system.ports.first()
 
         system.book(idempotencyKey = null, port = port).join().status shouldBe 400
@@ -97,10 +112,11 @@
         system.book(idempotencyKey = null, port = port, operation = "lookup").join().status shouldBe 201
     }
 
-    test("health and measures are told") {
+    @Test
+    fun `health and measures are told`() {
         val port = system.ports.first()
         system.send(port, "GET", "/healthz", "").status shouldBe 200
         system.send(port, "GET", "/readyz", "").text() shouldBe "ready\n"
         system.send(port, "GET", "/metrics", "").text() shouldContain "bulrushtack_requests_total"
     }
-})
+}
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/life/PlatformTroubleTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/life/PlatformTroubleTest.kt
@@ -1,6 +1,6 @@
 package org.bulrushtack.daemon.life
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThanOrEqual
@@ -8,14 +8,21 @@
 import org.bulrushtack.daemon.testing.DaemonFixture
 import java.util.concurrent.CompletableFuture
 
-class PlatformTroubleTest : FunSpec({
-    lateinit var system: DaemonFixture
+class PlatformTroubleTest : AnnotationSpec() {
+    private lateinit var system: DaemonFixture
 
-    beforeEach { system = DaemonFixture() }
+    @BeforeEach
+    fun startSystem() {
+        system = DaemonFixture()
+    }
 
-    afterEach { system.close() }
+    @AfterEach
+    fun stopSystem() {
+        system.close()
+    }
 
-    test("an edit whose answer was lost is accepted once") {
+    @Test
+    fun `an edit whose answer was lost is accepted once`() {
         system.platformFaults("""{"loseAnswers":1}""")
 
         val answer = system.edit("/workspaces/dock", "max-running", "77")
@@ -25,7 +32,8 @@
         edits.count { it["changes"].first().asText().endsWith("= 77") && it["accepted"].asBoolean() } shouldBe 1
     }
 
-    test("of two operators who edit one value at once, one wins and the other is told") {
+    @Test
+    fun `of two operators who edit one value at once, one wins and the other is told`() {
         val answers = system.ports.map { port ->
             CompletableFuture.supplyAsync { system.edit("/workspaces/dock", "max-running", "$port", port) }
         }.map { it.join() }
@@ -33,14 +41,16 @@
         answers.map { it.status }.sorted() shouldBe listOf(200, 409)
     }
 
-    test("an accepted edit is in force on every daemon within 7 seconds") {
+    @Test
+    fun `an accepted edit is in force on every daemon within 7 seconds`() {
         val answer = system.json(system.edit("/workspaces/dock", "max-running", "5"))
 
         answer["behind"].size() shouldBe 0
         answer["inForceMillis"].asLong() shouldBeLessThanOrEqual 7_000
     }
 
-    test("while the log is down completions are served, edits and bookings are refused truthfully") {
+    @Test
+    fun `while the log is down completions are served, edits and bookings are refused truthfully`() {
         val key = system.newIdempotencyKey()
         system.platformFaults("""{"outage":true}""")
 
@@ -55,7 +65,8 @@
         system.runs().count { it == key } shouldBeLessThanOrEqual 0
     }
 
-    test("a booking whose answer the service lost is not sent again") {
+    @Test
+    fun `a booking whose answer the service lost is not sent again`() {
         val key = system.newIdempotencyKey()
         system.send(system.service.controlPort, "POST", "/control/faults", """{"loseAnswers":1}""")
 
@@ -66,7 +77,8 @@
         system.runs().count { it == key } shouldBe 1
     }
 
-    test("an engine that restarts in mid-stream costs no token of the answer") {
+    @Test
+    fun `an engine that restarts in mid-stream costs no token of the answer`() {
         val answer = CompletableFuture.supplyAsync {
             system.complete("""{"model":"atlas","prompt":"x","max_tokens":200}""")
         }
@@ -82,4 +94,4 @@
         tokens.map { it.substringBefore('-') } shouldBe (0 until 200).map { "t$it" }
         stats()["starts"].asInt() shouldBe 2
     }
-})
+}
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReaderTest.kt
@@ -1,11 +1,11 @@
 package org.bulrushtack.daemon.settings
 
-import io.kotest.core.spec.style.FunSpec
+import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import java.io.StringReader
 
-class ProcessSettingsReaderTest : FunSpec({
-    val good = """
+class ProcessSettingsReaderTest : AnnotationSpec() {
+    private val good = """
         [daemon]
         name = vm-1
         data-centre = a
@@ -16,17 +16,19 @@
         address = 127.0.0.1:9000
     """.trimIndent()
 
-    fun faults(text: String): List<String> =
+    private fun faults(text: String): List<String> =
         ProcessSettingsReader().read("vm.ini", StringReader(text)).leftOrNull().orEmpty().map { it.toString() }
 
-    test("a file with what must be there gets defaults for the rest") {
+    @Test
+    fun `a file with what must be there gets defaults for the rest`() {
         val settings = ProcessSettingsReader().read("vm.ini", StringReader(good)).getOrNull()
 
         settings?.httpListen shouldBe SocketPlace("127.0.0.1", 8080)
         settings?.bodyBytes shouldBe 8_388_608
     }
 
-    test("every fault is named with file, section, key and the nearest right key") {
+    @Test
+    fun `every fault is named with file, section, key and the nearest right key`() {
         val text = good.replace("name = vm-1", "nam = vm-1").replace("[platform]", "[plattform]") +
             "\n[limits]\nbody-bytes = -5\n"
 
@@ -39,10 +41,11 @@
         )
     }
 
-    test("an address is an IP number and a port") {
+    @Test
+    fun `an address is an IP number and a port`() {
         faults(good.replace("127.0.0.1:8080", "localhost:8080")) shouldBe
             listOf("vm.ini: [listen] http: 'localhost:8080' is not an IP number and a port")
         faults(good.replace("127.0.0.1:8080", "127.0.0.1:99999")) shouldBe
             listOf("vm.ini: [listen] http: there is no port 99999")
     }
-})
+}
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
@@ -22,6 +22,7 @@
 import java.net.Socket
 import java.security.MessageDigest
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.locks.LockSupport
 
 /** A platform, an engine, a booking server and daemons over real sockets in this process. */
 internal class DaemonFixture(
@@ -38,7 +39,9 @@
 
     init {
         daemons.forEach { it.start() }
-        daemons.forEachIndexed { index, daemon -> register("vm-${index + 1}", "entry", daemon.httpPort, daemon.peerPort) }
+        daemons.forEachIndexed { index, daemon ->
+            register("vm-${index + 1}", "entry", daemon.httpPort, daemon.peerPort)
+        }
         register("engine-1", "engine", engine.port, serves = "atlas")
         register("booking-1", "service", service.port, serves = "booking")
         await("a configuration") { daemons.all { status(it.httpPort)?.get("configured")?.asBoolean() == true } }
@@ -64,18 +67,28 @@
     fun complete(body: String, port: Int = ports.first(), key: String = WORKSPACE_KEY): HttpMessageResponse =
         send(port, "POST", "/v1/completions", body, key)
 
-    fun book(idempotencyKey: String?, port: Int, operation: String = "reserve"): CompletableFuture<HttpMessageResponse> {
-        val extra = idempotencyKey?.let { listOf(HttpHeaderList.Header("Idempotency-Key", it)) }.orEmpty()
-        return sendLater(port, "POST", "/v1/services/booking/$operation", """{"party":4}""", WORKSPACE_KEY, extra)
+    fun book(
+        idempotencyKey: String?,
+        port: Int,
+        operation: String = "reserve",
+    ): CompletableFuture<HttpMessageResponse> {
+        val headers = authorization(WORKSPACE_KEY)
+        return sendLater(
+            port = port,
+            path = "/v1/services/booking/$operation",
+            body = """{"party":4}""",
+            headers = if (idempotencyKey == null) headers else headers.with("Idempotency-Key", idempotencyKey),
+        )
     }
 
     fun newIdempotencyKey(): String =
         json(send(ports.first(), "GET", "/v1/entry", ""))["idempotencyKey"].asText()
 
-    fun runs(): List<String> = json(send(service.controlPort, "GET", "/control/runs", ""))["runs"].map { it["key"].asText() }
+    fun runs(): List<String> =
+        json(send(service.controlPort, "GET", "/control/runs", ""))["runs"].map { it["key"].asText() }
 
     fun send(port: Int, method: String, path: String, body: String, key: String = ""): HttpMessageResponse =
-        sendLater(port, method, path, body, key).join()
+        sendLater(port, path, body, authorization(key), method).join()
 
     /** Sends bytes as they are and reads until the daemon closes the connection. */
     fun raw(text: String, port: Int = ports.first()): String = Socket("127.0.0.1", port).use { socket ->
@@ -94,23 +107,23 @@
 
     private fun sendLater(
         port: Int,
-        method: String,
         path: String,
         body: String,
-        key: String,
-        extra: List<HttpHeaderList.Header> = emptyList(),
-    ): CompletableFuture<HttpMessageResponse> {
-        val headers = HttpHeaderList(extra + HttpHeaderList.Header("Authorization", "Bearer $key"))
-        return client.exchange(ClientRequest(method, "127.0.0.1:$port", path, headers, body.toByteArray()))
+        headers: HttpHeaderList,
+        method: String = "POST",
+    ): CompletableFuture<HttpMessageResponse> =
+        client.exchange(ClientRequest(method, "127.0.0.1:$port", path, headers, body.toByteArray()))
             .thenApply { answer -> answer.fold({ error("no answer: ${it.reason}") }, { it }) }
-    }
+
+    private fun authorization(key: String): HttpHeaderList = HttpHeaderList().with("Authorization", "Bearer $key")
 
     private fun status(port: Int): JsonNode? {
         val response = operator("GET", "/v1/operator/status", port = port)
         return if (response.status == 200) json(response) else null
     }
 
-    private fun servers(port: Int): List<JsonNode> = status(port)?.get("servers")?.toList().orEmpty().ifEmpty { listOf(mapper.nullNode()) }
+    private fun servers(port: Int): List<JsonNode> =
+        status(port)?.get("servers")?.toList().orEmpty().ifEmpty { listOf(mapper.nullNode()) }
 
     private fun isServed(server: JsonNode): Boolean {
         val owner = server["owner"]?.takeUnless { it.isNull } ?: return false
@@ -153,7 +166,7 @@
         fun await(what: String, condition: () -> Boolean) {
             repeat(AWAIT_TRIES) {
                 if (condition()) return
-                java.util.concurrent.locks.LockSupport.parkNanos(AWAIT_NANOS)
+                LockSupport.parkNanos(AWAIT_NANOS)
             }
             error("$what did not come")
         }
