Wait for a new owner instead of using up the tries

Cause: with one engine, an owner killed or paused in mid-stream ended the request with backend-lost: eight tries against a server without an owner were used up in about 6 s, and a successor may dispatch only after about 8 s (silence for 3 s, the predecessor's lease of 3 s, a fresh list). Also a data centre out gave queue-timeout instead of no-backend-server. Ruled out: a shorter lease for the successor, which breaks the cold bound.

--- a/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
@@ -96,11 +96,16 @@
         val request: CompletionRequest,
     ) : Event
 
-    /** An attempt of a completion failed. */
+    /**
+     * An attempt of a completion failed.
+     *
+     * @property reachedServer whether its owner had sent it to the backend server
+     */
     public data class AttemptFailed(
         val requestId: String,
         val attempt: Int,
         val problem: Problem,
+        val reachedServer: Boolean,
     ) : Event
 
     /** A completion ended, well or because its caller went away. */
--- a/core/src/main/kotlin/org/bulrushtack/core/request/ActiveRequest.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/ActiveRequest.kt
@@ -1,5 +1,7 @@
 package org.bulrushtack.core.request
 
+import org.bulrushtack.core.error.Problem
+
 /**
  * A completion that has not ended.
  *
@@ -7,6 +9,10 @@
  * @property server the backend server of the attempt under way, or null between attempts
  * @property owner the daemon that the attempt under way was sent to
  * @property retryAtMillis when to try again, or null while an attempt is under way
+ * @property dispatches how many attempts reached a backend server
+ * @property waits how often no backend server could take it
+ * @property lastReachedServer whether the last attempt reached a backend server
+ * @property lastProblem why the last attempt failed
  * @property mayHaveRun whether an earlier attempt may have reached a backend server
  */
 public data class ActiveRequest(
@@ -16,5 +22,9 @@
     val owner: String? = null,
     val failedServers: Set<String> = emptySet(),
     val retryAtMillis: Long? = null,
+    val dispatches: Int = 0,
+    val waits: Int = 0,
+    val lastReachedServer: Boolean = false,
+    val lastProblem: Problem? = null,
     val mayHaveRun: Boolean = false,
 )
--- a/core/src/main/kotlin/org/bulrushtack/core/request/CompletionController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionController.kt
@@ -50,7 +50,8 @@
         val server = choice.choose(need = need, nowMillis = nowMillis)
         val owner = server?.let { directory.owners.currentOwner(server = it, nowMillis = nowMillis) }
         if (server == null || owner == null) {
-            return retryOrFail(active = active, problem = Problem(ErrorKind.NO_BACKEND_SERVER), nowMillis = nowMillis)
+            val waiting = active.copy(waits = active.waits + 1, lastReachedServer = false)
+            return retryOrFail(active = waiting, problem = Problem(ErrorKind.NO_BACKEND_SERVER), nowMillis = nowMillis)
         }
         val sent = region.send(active = active, server = server.name, owner = owner)
         return listOf(
@@ -65,18 +66,18 @@
 
     private fun attemptFailed(event: Event.AttemptFailed, nowMillis: Long): List<Action> {
         val active = region.active[event.requestId]?.takeIf { it.attempt == event.attempt } ?: return emptyList()
-        return attemptFailed(active = active, problem = event.problem, nowMillis = nowMillis)
-    }
-
-    private fun attemptFailed(active: ActiveRequest, problem: Problem, nowMillis: Long): List<Action> {
-        val failed = region.attemptEnded(active = active, mayHaveRun = problem.kind.ran != RunState.NO)
-        return retryOrFail(active = failed, problem = problem, nowMillis = nowMillis)
+        val failed = region.attemptEnded(
+            active = active,
+            problem = event.problem,
+            reachedServer = event.reachedServer,
+        )
+        return retryOrFail(active = failed, problem = event.problem, nowMillis = nowMillis)
     }
 
     private fun retryOrFail(active: ActiveRequest, problem: Problem, nowMillis: Long): List<Action> {
         val retryAtMillis = retries.nextTryAtMillis(active = active, problem = problem, nowMillis = nowMillis)
         if (retryAtMillis == null) return fail(active = active, problem = problem)
-        region.active[active.request.id] = active.copy(retryAtMillis = retryAtMillis)
+        region.active[active.request.id] = active.copy(retryAtMillis = retryAtMillis, lastProblem = problem)
         return emptyList()
     }
 
@@ -88,8 +89,8 @@
         .filter { it.request.deadlineAtMillis <= nowMillis }
         .flatMap { active ->
             val neverSent = active.server == null && !active.mayHaveRun
-            val kind = if (neverSent) ErrorKind.QUEUE_TIMEOUT else ErrorKind.DEADLINE_EXCEEDED
-            fail(active = active, problem = Problem(kind = kind))
+            val lastProblem = active.lastProblem ?: Problem(ErrorKind.QUEUE_TIMEOUT)
+            fail(active = active, problem = if (neverSent) lastProblem else Problem(ErrorKind.DEADLINE_EXCEEDED))
         }
 
     /** An owner that is silent may be paused with its connections open, so nothing else would tell. */
@@ -97,7 +98,8 @@
         .filter { active -> active.owner?.let { !directory.owners.isLive(it, nowMillis) } ?: false }
         .flatMap { active ->
             val problem = Problem(kind = ErrorKind.BACKEND_LOST, detail = "The owner of the backend server is silent.")
-            attemptFailed(active = active, problem = problem, nowMillis = nowMillis)
+            val failed = region.attemptEnded(active = active, problem = problem, reachedServer = false)
+            retryOrFail(active = failed, problem = problem, nowMillis = nowMillis)
         }
 
     /** A refusal of the last attempt must not hide that an earlier one may have run. */
--- a/core/src/main/kotlin/org/bulrushtack/core/request/CompletionRetries.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionRetries.kt
@@ -14,16 +14,22 @@
     /** Notes a first try. */
     fun firstTry() = budget.earn()
 
-    /** When to try again after [problem], or null for never. */
+    /**
+     * When to try again after [problem], or null for never. An attempt that reached no backend server cost none of
+     * them anything: it counts neither against the budget nor as one of the tries.
+     */
     fun nextTryAtMillis(active: ActiveRequest, problem: Problem, nowMillis: Long): Long? {
-        val retryAtMillis = nowMillis + backoff.pauseMillis(failures = active.failedServers.size + 1)
+        val retryAtMillis = nowMillis + backoff.pauseMillis(failures = active.attempt + active.waits + 1)
         val useless = problem.kind in FINAL_KINDS || retryAtMillis >= active.request.deadlineAtMillis
-        if (useless || active.attempt >= MAXIMUM_ATTEMPTS || !budget.spend()) return null
-        return retryAtMillis
+        return when {
+            useless || active.dispatches >= MAXIMUM_DISPATCHES -> null
+            active.lastReachedServer && !budget.spend() -> null
+            else -> retryAtMillis
+        }
     }
 }
 
-private const val MAXIMUM_ATTEMPTS = 8
+private const val MAXIMUM_DISPATCHES = 8
 private val FINAL_KINDS = setOf(
     ErrorKind.PROMPT_TOO_LONG,
     ErrorKind.CANNOT_FINISH,
--- a/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
@@ -1,5 +1,8 @@
 package org.bulrushtack.core.request
 
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RunState
+
 /** The part of the blackboard that holds the completions this daemon took. Written by [CompletionController]. */
 public class RequestsRegion {
     /** Completions that have not ended, by identifier. */
@@ -21,14 +24,17 @@
         return put(active.copy(attempt = active.attempt + 1, server = server, owner = owner, retryAtMillis = null))
     }
 
-    internal fun attemptEnded(active: ActiveRequest, mayHaveRun: Boolean): ActiveRequest {
+    internal fun attemptEnded(active: ActiveRequest, problem: Problem, reachedServer: Boolean): ActiveRequest {
         release(active)
         return put(
             active.copy(
                 server = null,
                 owner = null,
                 failedServers = active.failedServers + listOfNotNull(active.server),
-                mayHaveRun = active.mayHaveRun || mayHaveRun,
+                dispatches = active.dispatches + if (reachedServer) 1 else 0,
+                lastReachedServer = reachedServer,
+                lastProblem = problem,
+                mayHaveRun = active.mayHaveRun || problem.kind.ran != RunState.NO,
             ),
         )
     }
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeSystem.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeSystem.kt
@@ -10,6 +10,7 @@
 import org.bulrushtack.core.dispatch.WorkId
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.log.AppendResult
 import org.bulrushtack.core.log.CallAnswer
 import org.bulrushtack.core.log.LogEntry
@@ -275,7 +276,7 @@
 
     private fun failure(id: WorkId, problem: Problem): Event = when (id.requestId) {
         in calls -> Event.CallAttemptFailed(id.requestId, problem)
-        else -> Event.AttemptFailed(id.requestId, id.attempt, problem)
+        else -> Event.AttemptFailed(id.requestId, id.attempt, problem, reachedServer = problem.kind.ran != RunState.NO)
     }
 
     private fun success(id: WorkId): Event {
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/AnswerProgress.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/AnswerProgress.kt
@@ -16,6 +16,9 @@
     private var startedAtMillis: Long? = null
     private var lastFrameAtMillis: Long? = null
 
+    /** Whether the attempt left its queue. */
+    val isStarted: Boolean get() = startedAtMillis != null
+
     /** Makes [number] the attempt that counts. */
     fun begin(number: Int) {
         attempt = number
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionReporter.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionReporter.kt
@@ -21,10 +21,17 @@
         millis = clock.nowMillis() - session.request.receivedAtMillis,
     )
 
-    override fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem) {
+    override fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem, reachedServer: Boolean) {
         log.info { "request=${session.request.id} attempt=$attempt failed: ${problem.kind.code}. ${problem.detail}" }
         metrics.attemptFailed(problem.kind)
-        control.post(Event.AttemptFailed(requestId = session.request.id, attempt = attempt, problem = problem))
+        control.post(
+            Event.AttemptFailed(
+                requestId = session.request.id,
+                attempt = attempt,
+                problem = problem,
+                reachedServer = reachedServer,
+            ),
+        )
     }
 
     override fun finished(session: CompletionSession) {
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
@@ -85,13 +85,15 @@
     }
 
     private fun attemptFailed(number: Int, problem: Problem) {
+        val reachedServer: Boolean
         val action = synchronized(this) {
             if (!progress.isCurrent(number)) return
+            reachedServer = progress.isStarted
             progress.stopped()
             takeBreakOff()
         }
         action()
-        observer.attemptFailed(session = this, attempt = number, problem = problem)
+        observer.attemptFailed(session = this, attempt = number, problem = problem, reachedServer = reachedServer)
     }
 
     private fun end(): Boolean {
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/SessionObserver.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/SessionObserver.kt
@@ -8,7 +8,7 @@
     fun firstToken(session: CompletionSession)
 
     /** An attempt failed; the completion may go on with another. */
-    fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem)
+    fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem, reachedServer: Boolean)
 
     /** The whole answer was written. */
     fun finished(session: CompletionSession)
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/life/PlatformTroubleTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/life/PlatformTroubleTest.kt
@@ -82,16 +82,14 @@
         val answer = CompletableFuture.supplyAsync {
             system.complete("""{"model":"atlas","prompt":"x","max_tokens":200}""")
         }
-        val control = system.engine.controlPort
-        val stats = { system.json(system.send(control, "GET", "/control/stats", "")) }
-        DaemonFixture.await("a dispatch") { stats()["running"].asInt() == 1 }
-        system.send(control, "POST", "/control/restart", "{}")
+        DaemonFixture.await("a dispatch") { system.engineStats()["running"].asInt() == 1 }
+        system.send(system.engine.controlPort, "POST", "/control/restart", "{}")
 
         val whole = answer.join()
 
         whole.status shouldBe 200
         val tokens = system.json(whole)["choices"][0]["text"].asText().trim().split(' ')
         tokens.map { it.substringBefore('-') } shouldBe (0 until 200).map { "t$it" }
-        stats()["starts"].asInt() shouldBe 2
+        system.engineStats()["starts"].asInt() shouldBe 2
     }
 }
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
@@ -3,8 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.ObjectMapper
 import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
-import org.bulrushtack.core.membership.MemberIdentity
-import org.bulrushtack.daemon.life.Daemon
 import org.bulrushtack.daemon.settings.ProcessSettings
 import org.bulrushtack.daemon.settings.SocketPlace
 import org.bulrushtack.http.ClientRequest
@@ -24,10 +22,11 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.locks.LockSupport
 
-/** A platform, an engine, a booking server and daemons over real sockets in this process. */
+/** A platform, an engine, a booking server and daemons over real sockets. */
 internal class DaemonFixture(
     daemonCount: Int = 2,
     engineOptions: EngineOptions = EngineOptions(coldMillis = 0, prefillTokensPerSecond = 1_000_000),
+    startDaemon: (ProcessSettings) -> RunningDaemon = ::InProcessDaemon,
 ) : AutoCloseable {
     private val group = EventLoops.create(2)
     private val client = HttpClient(group)
@@ -35,10 +34,9 @@
     private val platform = PlatformStandIn(PlatformOptions(vmLagMillis = 0)).start(ListenOptions())
     val engine = EngineStandIn(engineOptions).start(ListenOptions())
     val service = ServiceStandIn(ServiceOptions(coldMillis = 0)).start(ListenOptions())
-    private val daemons = (1..daemonCount).map { newDaemon("vm-$it") }
+    val daemons = (1..daemonCount).map { startDaemon(settings("vm-$it")) }
 
     init {
-        daemons.forEach { it.start() }
         daemons.forEachIndexed { index, daemon ->
             register("vm-${index + 1}", "entry", daemon.httpPort, daemon.peerPort)
         }
@@ -52,6 +50,13 @@
 
     val ports: List<Int> get() = daemons.map { it.httpPort }
 
+    /** The number, from 0, of the daemon that owns [server]. */
+    fun ownerOf(server: String, port: Int = ports.first()): Int =
+        servers(port).first { it["name"].asText() == server }["owner"].asText().removePrefix("vm-").toInt() - 1
+
+    /** What the engine says happened to it. */
+    fun engineStats(): JsonNode = json(send(engine.controlPort, "GET", "/control/stats", ""))
+
     fun platformFaults(json: String) = send(platform.controlPort, "POST", "/control/faults", json)
 
     fun edit(path: String, key: String, value: String, port: Int = ports.first()): HttpMessageResponse = operator(
@@ -136,23 +141,19 @@
         send(platform.controlPort, "POST", "/control/vms", row)
     }
 
-    private fun newDaemon(name: String): Daemon = Daemon(
-        settings = ProcessSettings(
-            name = name,
-            dataCentre = "a",
-            httpListen = SocketPlace("127.0.0.1", 0),
-            peerListen = SocketPlace("127.0.0.1", 0),
-            platformAddress = "127.0.0.1:${platform.port}",
-            bootstrapKeyHash = hash(OPERATOR_KEY),
-            logLevel = "warn",
-            bodyBytes = 100_000,
-            headerBytes = 4_096,
-            requestMillis = 500,
-            drainMillis = 1_000,
-            networkThreads = 2,
-        ),
-        identity = MemberIdentity(name, "life-1", "a"),
-        seed = 1,
+    private fun settings(name: String): ProcessSettings = ProcessSettings(
+        name = name,
+        dataCentre = "a",
+        httpListen = SocketPlace("127.0.0.1", 0),
+        peerListen = SocketPlace("127.0.0.1", 0),
+        platformAddress = "127.0.0.1:${platform.port}",
+        bootstrapKeyHash = hash(OPERATOR_KEY),
+        logLevel = "warn",
+        bodyBytes = 100_000,
+        headerBytes = 4_096,
+        requestMillis = 500,
+        drainMillis = 60_000,
+        networkThreads = 2,
     )
 
     companion object {
--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
@@ -0,0 +1,67 @@
+package org.bulrushtack.daemon.testing
+
+import org.bulrushtack.daemon.settings.ProcessSettings
+import java.nio.file.Files
+import java.util.concurrent.TimeUnit
+
+/** A daemon in a process of its own, which a test can kill, stop and resume. */
+internal class DaemonProcess(
+    settings: ProcessSettings,
+) : RunningDaemon {
+    private val file = Files.createTempFile("daemon", ".ini").also { Files.writeString(it, ini(settings)) }
+    private val output = Files.createTempFile("daemon", ".log")
+    private val process = ProcessBuilder(command())
+        .redirectErrorStream(true)
+        .redirectOutput(output.toFile())
+        .start()
+
+    override val httpPort: Int = port(Regex("http=127.0.0.1:([0-9]+) "))
+    override val peerPort: Int = port(Regex("peer=([0-9]+) "))
+
+    override fun stop() {
+        signal("CONT")
+        process.destroyForcibly().waitFor()
+        Files.deleteIfExists(file)
+        Files.deleteIfExists(output)
+    }
+
+    /** Sends a signal by its name, such as `KILL`, `STOP`, `CONT` or `TERM`. */
+    fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
+    }
+
+    /** Whether the process ended by itself within [seconds]. */
+    fun ended(seconds: Long): Boolean = process.waitFor(seconds, TimeUnit.SECONDS)
+
+    private fun port(pattern: Regex): Int {
+        DaemonFixture.await("the start of a daemon") { pattern.containsMatchIn(Files.readString(output)) }
+        return pattern.find(Files.readString(output))!!.groupValues[1].toInt()
+    }
+
+    private fun command(): List<String> = listOf(
+        "${System.getProperty("java.home")}/bin/java",
+        "-Xmx256m",
+        "-XX:+UseSerialGC",
+        "-XX:TieredStopAtLevel=1",
+        "-cp",
+        System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path"),
+        "org.bulrushtack.daemon.MainKt",
+        file.toString(),
+    )
+
+    private fun ini(settings: ProcessSettings): String = """
+        [daemon]
+        name = ${settings.name}
+        data-centre = ${settings.dataCentre}
+        drain-seconds = ${settings.drainMillis / MILLIS_PER_SECOND}
+        [listen]
+        http = ${settings.httpListen}
+        peer = ${settings.peerListen}
+        [platform]
+        address = ${settings.platformAddress}
+        [operators]
+        bootstrap-key-hash = ${settings.bootstrapKeyHash}
+    """.trimIndent()
+}
+
+private const val MILLIS_PER_SECOND = 1_000
