--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
@@ -10,7 +10,10 @@
 import org.bulrushtack.http.ClientRequest
 import org.bulrushtack.http.HttpClient
 
-/** Model engines over HTTP, with answers as server-sent events. */
+/**
+ * Model engines over HTTP, with answers as server-sent events. Connections are used again, since a completion that
+ * was lost may be repeated.
+ */
 public class HttpEngineClient(
     private val client: HttpClient,
 ) : EngineClient {
@@ -32,7 +35,6 @@
                 path = "/v1/completions",
                 headers = OrderHeaders.of(request.order),
                 body = mapper.writeValueAsBytes(body),
-                fresh = true,
             ),
             listener = EngineAnswerReader(mapper = mapper, listener = listener),
         )
--- a/bench/src/main/kotlin/org/bulrushtack/bench/Main.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/Main.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import org.bulrushtack.bench.control.ControlCommand
 import org.bulrushtack.bench.demo.DemoCommand
 import org.bulrushtack.bench.load.LoadCommand
 import org.bulrushtack.program.ProgramLine
@@ -10,6 +11,6 @@
 @OptIn(ExperimentalCli::class)
 fun main(arguments: Array<String>) {
     val parser = ArgParser(programName = "bench")
-    parser.subcommands(DemoCommand(), LoadCommand())
+    parser.subcommands(DemoCommand(), LoadCommand(), ControlCommand())
     ProgramLine.run(parser = parser, arguments = arguments, program = BenchClient::class.java)
 }
--- /dev/null
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/control/ControlCommand.kt
@@ -0,0 +1,46 @@
+package org.bulrushtack.bench.control
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.default
+import org.bulrushtack.program.ProgramCommand
+
+/** Measures what control costs one daemon at a given size of the system, in processor time, memory and messages. */
+@OptIn(ExperimentalCli::class)
+internal class ControlCommand : ProgramCommand(name = "control", description = "the cost of control at a size") {
+    private val daemons by option(ArgType.Int, description = "entry VMs").default(DEFAULT_DAEMONS)
+    private val servers by option(ArgType.Int, description = "backend servers").default(DEFAULT_SERVERS)
+    private val workspaces by option(ArgType.Int, description = "workspaces in the tree").default(DEFAULT_WORKSPACES)
+    private val claims by option(ArgType.Int, description = "claimed calls that are kept").default(0)
+    private val seconds by option(ArgType.Int, description = "simulated time that is counted").default(DEFAULT_SECONDS)
+
+    override fun run() {
+        val size = SystemSize(daemons = daemons, servers = servers, workspaces = workspaces, claims = claims)
+        val before = usedBytes()
+        val load = ControlLoad(size = size)
+        load.run(seconds = WARMUP_SECONDS)
+        val startedAtNanos = System.nanoTime()
+        load.run(seconds = seconds)
+        val microsPerSecond = (System.nanoTime() - startedAtNanos) / NANOS_PER_MICRO / seconds
+        val megabytes = (usedBytes() - before) / BYTES_PER_MEGABYTE
+        println(
+            "control: daemons=$daemons servers=$servers workspaces=$workspaces claims=$claims " +
+                "cpu=${microsPerSecond}us/s heap=${megabytes}MB owned=${load.ownedServers()} " +
+                "heartbeats=${load.heartbeatsPerSecond()}/s bytes=${load.bytesPerSecond()}/s",
+        )
+    }
+
+    private fun usedBytes(): Long {
+        repeat(COLLECTIONS) { System.gc() }
+        return Runtime.getRuntime().let { it.totalMemory() - it.freeMemory() }
+    }
+}
+
+private const val DEFAULT_DAEMONS = 7
+private const val DEFAULT_SERVERS = 20
+private const val DEFAULT_WORKSPACES = 10
+private const val DEFAULT_SECONDS = 60
+private const val WARMUP_SECONDS = 120
+private const val NANOS_PER_MICRO = 1_000L
+private const val BYTES_PER_MEGABYTE = 1_048_576L
+private const val COLLECTIONS = 3
--- /dev/null
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/control/ControlLoad.kt
@@ -0,0 +1,141 @@
+package org.bulrushtack.bench.control
+
+import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.ControlLoop
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.dispatch.RunningList
+import org.bulrushtack.core.log.AppendResult
+import org.bulrushtack.core.log.LogEntry
+import org.bulrushtack.core.log.LogRecord
+import org.bulrushtack.core.membership.HeartbeatMessage
+import org.bulrushtack.core.membership.MemberDigest
+import org.bulrushtack.core.membership.MemberIdentity
+import org.bulrushtack.core.membership.ServerLoad
+import org.bulrushtack.daemon.peer.PeerMessages
+import kotlin.random.Random
+
+/** Feeds one daemon's control loop with what it hears each second in a system of [size]. */
+internal class ControlLoad(
+    private val size: SystemSize,
+) {
+    private val random = Random(1)
+    private val blackboard = Blackboard(MemberIdentity(name = "vm-0", incarnation = "life", dataCentre = "dc-0"))
+    private val loop = ControlLoop(blackboard = blackboard, random = random)
+    private val platform = SimulatedPlatform(size)
+    private var nowMillis = 0L
+    private var heartbeats = 0L
+    private var heartbeatBytes = 0L
+
+    init {
+        handle(Event.VmListRead(platform.vms))
+        readLog()
+    }
+
+    /** Runs [seconds] of simulated time. */
+    fun run(seconds: Int) {
+        heartbeats = 0
+        heartbeatBytes = 0
+        repeat(seconds) { second() }
+        heartbeats /= seconds
+        heartbeatBytes /= seconds
+    }
+
+    /** How many backend servers the daemon owns. */
+    fun ownedServers(): Int = blackboard.ledgers.openLedgers().size
+
+    /** Heartbeats and answers that go out and come in, a second. */
+    fun heartbeatsPerSecond(): Long = heartbeats
+
+    /** Their bytes, a second. */
+    fun bytesPerSecond(): Long = heartbeatBytes
+
+    private fun second() {
+        repeat(TICKS_PER_SECOND) {
+            handle(Event.Tick)
+            nowMillis += TICK_MILLIS
+        }
+        repeat(minOf(HEARTBEATS_RECEIVED, size.daemons - 1)) {
+            count(blackboard.heartbeat(nowMillis))
+            receive(answersAskedAtMillis = null)
+        }
+        readLog()
+        handle(Event.VmListRead(platform.vms))
+    }
+
+    private fun handle(event: Event) = loop.handle(event = event, nowMillis = nowMillis).forEach { act(it) }
+
+    private fun act(action: Action) {
+        when (action) {
+            is Action.SendHeartbeat -> {
+                count(action.message)
+                receive(answersAskedAtMillis = nowMillis)
+            }
+            is Action.AppendRecords -> append(action.records)
+            is Action.PollServer -> list(action.server)
+            else -> Unit
+        }
+    }
+
+    private fun receive(answersAskedAtMillis: Long?) {
+        if (size.daemons < 2) return
+        val message = message()
+        count(message)
+        handle(Event.HeartbeatReceived(message = message, answersAskedAtMillis = answersAskedAtMillis))
+    }
+
+    private fun count(message: HeartbeatMessage) {
+        heartbeats++
+        heartbeatBytes += PeerMessages.toWire(message).serializedSize + FRAME_BYTES
+    }
+
+    private fun message(): HeartbeatMessage {
+        val others = List(DIGESTS) { 1 + random.nextInt(size.daemons - 1) }.distinct()
+        val digests = others.map { digest(it) }
+        return HeartbeatMessage(
+            sender = digests.first(),
+            members = digests.drop(1),
+            loads = List(LOADS) { load() },
+            tailOffset = platform.tailOffset,
+            tailAgeMillis = 0,
+        )
+    }
+
+    private fun digest(number: Int): MemberDigest = MemberDigest(
+        name = "vm-$number",
+        incarnation = "019a3f29cf06-00000000",
+        heartbeatCount = nowMillis,
+        appliedOffset = platform.tailOffset,
+        leaving = false,
+    )
+
+    private fun load(): ServerLoad = ServerLoad(
+        server = "engine-${random.nextInt(size.servers)}",
+        freeTokens = 300_000,
+        capacityTokens = 500_000,
+        queuedWork = 10,
+        running = 20,
+    )
+
+    private fun append(records: List<LogRecord>) {
+        platform.append(records)
+        handle(Event.AppendAnswered(ids = records.map { it.id }, result = AppendResult.ACCEPTED))
+    }
+
+    private fun list(server: String) {
+        val list = RunningList(incarnation = "life", capacityTokens = 500_000, leaving = false, requests = emptyList())
+        handle(Event.ServerListed(server = server, list = list, askedAtMillis = nowMillis))
+    }
+
+    private fun readLog() {
+        val entries: List<LogEntry> = platform.after(blackboard.log.folder.appliedOffset)
+        handle(Event.RecordsRead(entries = entries, tailOffset = platform.tailOffset, askedAtMillis = nowMillis))
+    }
+}
+
+private const val TICKS_PER_SECOND = 20
+private const val TICK_MILLIS = 50L
+private const val HEARTBEATS_RECEIVED = 6
+private const val DIGESTS = 17
+private const val LOADS = 2
+private const val FRAME_BYTES = 60
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/dispatch/LeavingServerTest.kt
@@ -0,0 +1,61 @@
+package org.bulrushtack.core.dispatch
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.membership.VmState
+import org.bulrushtack.core.testing.FakeSystem
+
+class LeavingServerTest : AnnotationSpec() {
+    private fun sendFor(system: FakeSystem, millis: Long) {
+        repeat((millis / 50).toInt()) {
+            system.complete(daemon = system.live().random(system.random))
+            system.advance(50)
+        }
+    }
+
+    @Test
+    fun `a server that the VM list shows leaving gets no new work, and the other one does`() {
+        val system = FakeSystem(seed = 3, daemonCount = 3)
+        system.advance(9_000)
+        sendFor(system, millis = 3_000)
+
+        system.vms["engine-1"] = system.vms.getValue("engine-1").copy(state = VmState.LEAVING)
+        val leftAtMillis = system.clock.nowMillis
+        sendFor(system, millis = 6_000)
+
+        (system.servers.getValue("engine-1").lastStartAtMillis - leftAtMillis) shouldBeLessThanOrEqual 2_000
+        (system.servers.getValue("engine-2").lastStartAtMillis > leftAtMillis + 4_000) shouldBe true
+    }
+
+    @Test
+    fun `a server that says itself that it is leaving gets no new work within a second`() {
+        val system = FakeSystem(seed = 4, daemonCount = 3)
+        system.advance(9_000)
+        sendFor(system, millis = 3_000)
+
+        system.servers.getValue("engine-1").leaving = true
+        val leftAtMillis = system.clock.nowMillis
+        sendFor(system, millis = 6_000)
+
+        (system.servers.getValue("engine-1").lastStartAtMillis - leftAtMillis) shouldBeLessThanOrEqual 1_000
+        (system.servers.getValue("engine-2").lastStartAtMillis > leftAtMillis + 4_000) shouldBe true
+    }
+
+    @Test
+    fun `a server in a data centre that was taken out gets no new work, and does again when it is brought back`() {
+        val system = FakeSystem(seed = 5, daemonCount = 3)
+        system.advance(9_000)
+
+        system.edit(system.live().first(), "/data-centres/a", "state", "out", version = 0)
+        sendFor(system, millis = 2_000)
+        val before = system.servers.values.maxOf { it.lastStartAtMillis }
+        sendFor(system, millis = 3_000)
+
+        system.servers.values.maxOf { it.lastStartAtMillis } shouldBe before
+        val version = system.log.tailOffset
+        system.edit(system.live().first(), "/data-centres/a", "state", "in", version)
+        sendFor(system, millis = 3_000)
+        (system.servers.values.maxOf { it.lastStartAtMillis } > before) shouldBe true
+    }
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeServer.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeServer.kt
@@ -16,6 +16,7 @@
     val runsByKey = HashMap<String, Int>()
     val runsByRequest = HashMap<String, Int>()
     var answersToLose = 0
+    var leaving = false
     var incarnation = "$name/0"
         private set
     var mostWhileCold = 0
@@ -54,7 +55,7 @@
     }
 
     fun list(): RunningList =
-        RunningList(incarnation, capacityTokens, leaving = false, requests = running.values.toList())
+        RunningList(incarnation, capacityTokens, leaving = leaving, requests = running.values.toList())
 
     /** The report of a second ago. */
     fun report(): ServerReport? {
--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/taking/CompletionSessionTest.kt
@@ -0,0 +1,125 @@
+package org.bulrushtack.daemon.taking
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.request.CompletionRequest
+
+class CompletionSessionTest : AnnotationSpec() {
+    private val request = CompletionRequest(
+        id = "request",
+        workspace = "dock",
+        model = "atlas",
+        promptTokens = 10,
+        maximumTokens = 4,
+        receivedAtMillis = 0,
+        deadlineAtMillis = 60_000,
+    )
+    private lateinit var writer: FakeCompletionWriter
+    private lateinit var observer: FakeSessionObserver
+    private lateinit var testSubject: CompletionSession
+    private var nowMillis = 0L
+
+    @BeforeEach
+    fun newSession() {
+        nowMillis = 0
+        writer = FakeCompletionWriter()
+        observer = FakeSessionObserver()
+        testSubject = CompletionSession(request, ByteArray(0), writer, { nowMillis }, observer)
+    }
+
+    @Test
+    fun `a whole answer is written once and in order`() {
+        val sink = testSubject.begin(1)
+
+        sink.chunk(offset = 0, tokens = 2, text = "a b ")
+        sink.chunk(offset = 2, tokens = 2, text = "c d ")
+        sink.finished(totalTokens = 4, reason = "length")
+
+        writer.text shouldBe "a b c d "
+        writer.finished shouldBe true
+        observer.failedAttempts.shouldBeEmpty()
+    }
+
+    @Test
+    fun `a doubled chunk is dropped and a missing one ends the attempt`() {
+        val sink = testSubject.begin(1)
+
+        sink.chunk(offset = 0, tokens = 2, text = "a b ")
+        sink.chunk(offset = 0, tokens = 2, text = "a b ")
+        sink.chunk(offset = 3, tokens = 1, text = "d ")
+
+        writer.text shouldBe "a b "
+        observer.failedAttempts shouldBe listOf(1)
+    }
+
+    @Test
+    fun `late frames of an attempt that was given up are dropped`() {
+        val first = testSubject.begin(1)
+        first.chunk(offset = 0, tokens = 1, text = "a ")
+        val second = testSubject.begin(2)
+
+        first.chunk(offset = 1, tokens = 1, text = "X ")
+        first.finished(totalTokens = 1, reason = "length")
+        second.chunk(offset = 1, tokens = 3, text = "b c d ")
+        second.finished(totalTokens = 4, reason = "length")
+
+        writer.text shouldBe "a b c d "
+        writer.finished shouldBe true
+    }
+
+    @Test
+    fun `an end that counts more tokens than arrived ends the attempt and not the answer`() {
+        val sink = testSubject.begin(1)
+        sink.chunk(offset = 0, tokens = 1, text = "a ")
+
+        sink.finished(totalTokens = 4, reason = "length")
+
+        writer.finished shouldBe false
+        observer.failedAttempts shouldBe listOf(1)
+    }
+
+    @Test
+    fun `an attempt that has started and is silent is given up, one that waits in a queue is not`() {
+        val sink = testSubject.begin(1)
+        nowMillis = 60_000
+        testSubject.checkStall(firstTokenLimitMillis = 10_000)
+        observer.failedAttempts.shouldBeEmpty()
+
+        sink.started()
+        nowMillis = 70_001
+        testSubject.checkStall(firstTokenLimitMillis = 10_000)
+
+        observer.failedAttempts shouldBe listOf(1)
+    }
+
+    @Test
+    fun `silence while the caller reads slowly is no stall`() {
+        val sink = testSubject.begin(1)
+        sink.started()
+        sink.chunk(offset = 0, tokens = 1, text = "a ")
+        writer.isReady = false
+        nowMillis = 30_000
+        testSubject.checkStall(firstTokenLimitMillis = 10_000)
+
+        writer.isReady = true
+        nowMillis = 30_100
+        testSubject.checkStall(firstTokenLimitMillis = 10_000)
+
+        observer.failedAttempts.shouldBeEmpty()
+    }
+
+    @Test
+    fun `after its end nothing more is written`() {
+        val sink = testSubject.begin(1)
+        testSubject.fail(Problem(ErrorKind.DEADLINE_EXCEEDED))
+
+        sink.chunk(offset = 0, tokens = 1, text = "a ")
+        testSubject.fail(Problem(ErrorKind.BACKEND_LOST))
+
+        writer.text shouldBe ""
+        writer.problems.map { it.kind } shouldBe listOf(ErrorKind.DEADLINE_EXCEEDED)
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/taking/FakeCompletionWriter.kt
@@ -0,0 +1,26 @@
+package org.bulrushtack.daemon.taking
+
+import org.bulrushtack.core.error.Problem
+
+/** Keeps what would be written to a caller. */
+internal class FakeCompletionWriter : CompletionWriter {
+    var text = ""
+    var finished = false
+    val problems = mutableListOf<Problem>()
+
+    override var isReady = true
+
+    override fun onReady(listener: () -> Unit) = Unit
+
+    override fun chunk(offset: Long, tokens: Long, text: String) {
+        this.text += text
+    }
+
+    override fun finish(totalTokens: Long, reason: String) {
+        finished = true
+    }
+
+    override fun fail(problem: Problem) {
+        problems.add(problem)
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/taking/FakeSessionObserver.kt
@@ -0,0 +1,20 @@
+package org.bulrushtack.daemon.taking
+
+import org.bulrushtack.core.error.Problem
+
+/** Keeps which attempts failed. */
+internal class FakeSessionObserver : SessionObserver {
+    val failedAttempts = mutableListOf<Int>()
+
+    override fun firstToken(session: CompletionSession) = Unit
+
+    override fun attemptFailed(session: CompletionSession, attempt: Int, problem: Problem, reachedServer: Boolean) {
+        failedAttempts.add(attempt)
+    }
+
+    override fun finished(session: CompletionSession) = Unit
+
+    override fun failed(session: CompletionSession, problem: Problem) = Unit
+
+    override fun abandoned(session: CompletionSession) = Unit
+}
