--- a/bench/src/main/kotlin/org/bulrushtack/bench/control/SimulatedPlatform.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/control/SimulatedPlatform.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.core.log.CallKey
 import org.bulrushtack.core.log.LogEntry
 import org.bulrushtack.core.log.LogRecord
+import org.bulrushtack.core.log.OwnershipClaim
 import org.bulrushtack.core.log.SettingsEdit
 import org.bulrushtack.core.membership.VmKind
 import org.bulrushtack.core.membership.VmRecord
@@ -25,6 +26,7 @@
     init {
         append(List(size.workspaces) { workspace(it) })
         append(List(size.claims) { claim(it) })
+        if (size.daemons > 1) append(List(size.servers) { ownership(it, owner = 1 + it % (size.daemons - 1)) })
     }
 
     /** The last offset. */
@@ -41,7 +43,8 @@
     private fun workspace(number: Int): LogRecord {
         val path = SettingsPath.ROOT.child("workspaces").child("workspace-$number")
         val hash = "%064x".format(number)
-        val changes = listOf("key-hashes" to hash, "max-running" to "100", "deadline-seconds" to "60").map { (key, value) ->
+        val values = listOf("key-hashes" to hash, "max-running" to "100", "deadline-seconds" to "60")
+        val changes = values.map { (key, value) ->
             SettingChange(address = SettingAddress(path = path, key = key), value = value, expectedVersion = 0)
         }
         return SettingsEdit(id = "edit/$number", operator = "operator", changes = changes)
@@ -55,6 +58,14 @@
         fingerprint = "%064x".format(number),
     )
 
+    private fun ownership(number: Int, owner: Int): LogRecord = OwnershipClaim(
+        id = "ownership/$number",
+        server = "engine-$number",
+        owner = "vm-$owner",
+        ownerIncarnation = "019a3f29cf06-00000000",
+        replacesEpoch = 0,
+    )
+
     private fun vm(name: String, kind: VmKind, number: Int): VmRecord = VmRecord(
         name = name,
         kind = kind,
--- a/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/OwnershipController.kt
@@ -22,15 +22,18 @@
     private val self = blackboard.identity
     private val claims = OwnershipClaims(blackboard = blackboard, identifiers = identifiers)
     private val shares = OwnershipShares(blackboard = blackboard)
+    private var nextReviewAtMillis = 0L
 
     override fun handle(event: Event, nowMillis: Long): List<Action> {
         if (!blackboard.log.configured) return emptyList()
-        val reviewsAll = event is Event.Tick || event is Event.RecordsRead || event is Event.DrainRequested
-        if (reviewsAll) reviewAll(nowMillis) else refreshShares(nowMillis)
+        val folds = blackboard.log.folded.isNotEmpty()
+        val isDue = event is Event.Tick && nowMillis >= nextReviewAtMillis
+        if (folds || isDue || event is Event.DrainRequested) reviewAll(nowMillis) else refreshShares(nowMillis)
         return emptyList()
     }
 
     private fun reviewAll(nowMillis: Long) {
+        nextReviewAtMillis = nowMillis + REVIEW_MILLIS
         val servers = directory.all()
         servers.forEach { server ->
             val isBest = isBest(server = server, nowMillis = nowMillis)
@@ -85,6 +88,7 @@
     }
 }
 
+private const val REVIEW_MILLIS = 250L
 private const val PROVISIONAL_SILENCE_MILLIS = 8_000L
 private const val PROVISIONAL_WINDOW_MILLIS = 2_000L
 private const val FENCES_PER_EPOCH = 2L
--- a/core/src/main/kotlin/org/bulrushtack/core/server/OwnerDirectory.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/server/OwnerDirectory.kt
@@ -7,13 +7,14 @@
 public class OwnerDirectory(
     private val blackboard: Blackboard,
 ) {
+    private var candidates: Candidates? = null
+
     /** The daemon that should own [server]: one of its data centre while one lives there, by rendezvous hash. */
     public fun bestOwner(server: BackendServer, nowMillis: Long): String? {
-        val self = blackboard.identity.name
-        val staying = blackboard.members.stayingMembers(nowMillis)
-        val candidates = if (blackboard.members.leaving) staying else staying + self
-        val near = candidates.filter { dataCentreOf(it) == server.vm.dataCentre }
-        return RendezvousHash.choose(key = server.name, candidates = near.ifEmpty { candidates })
+        val current = candidates?.takeIf { it.atMillis == nowMillis } ?: newCandidates(nowMillis)
+        candidates = current
+        val near = current.byDataCentre[server.vm.dataCentre] ?: current.all
+        return RendezvousHash.choose(key = server.name, candidates = near)
     }
 
     /** The daemon that takes work for [server] now: the recorded owner while it lives, else its expected successor. */
@@ -31,8 +32,21 @@
     public fun isLive(name: String, nowMillis: Long): Boolean =
         name == blackboard.identity.name || blackboard.members.isLive(name = name, nowMillis = nowMillis)
 
+    private fun newCandidates(nowMillis: Long): Candidates {
+        val staying = blackboard.members.stayingMembers(nowMillis)
+        val all = if (blackboard.members.leaving) staying else staying + blackboard.identity.name
+        return Candidates(atMillis = nowMillis, all = all, byDataCentre = all.groupBy { dataCentreOf(it) })
+    }
+
     private fun dataCentreOf(daemon: String): String? = when (daemon) {
         blackboard.identity.name -> blackboard.identity.dataCentre
         else -> blackboard.members.vms[daemon]?.dataCentre
     }
+
+    /** The daemons that may own servers at one time; the same for all servers that are looked at then. */
+    private data class Candidates(
+        val atMillis: Long,
+        val all: List<String>,
+        val byDataCentre: Map<String?, List<String>>,
+    )
 }
