--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpServiceClient.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpServiceClient.kt
@@ -39,7 +39,7 @@
     private fun answered(response: HttpMessageResponse): ServiceResult = ServiceResult.Answered(
         answer = CallAnswer(
             status = response.status,
-            contentType = response.contentType,
+            contentType = response.contentType.orEmpty(),
             body = Base64.getEncoder().encodeToString(response.body),
         ),
         incarnation = response.headers.find(OrderHeaders.INCARNATION),
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/MonotonicClock.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/MonotonicClock.kt
@@ -1,7 +1,7 @@
-package org.bulrushtack.daemon.control
+package org.bulrushtack.core.control
 
 /** Time that never runs backwards, in milliseconds from an arbitrary start. */
-fun interface MonotonicClock {
+public fun interface MonotonicClock {
     /** The time now. */
-    fun nowMillis(): Long
+    public fun nowMillis(): Long
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
@@ -0,0 +1,22 @@
+package org.bulrushtack.core.daemon
+
+/**
+ * What a forwarding daemon says of itself.
+ *
+ * @property incarnation new at each start
+ * @property peerAddress host and port for other daemons
+ * @property frontAddress host and port for callers
+ * @property rank the offset of its record in the platform's store, or null while it has none
+ * @property ready whether it serves callers
+ * @property leaving whether it is shutting down
+ */
+public data class DaemonInfo(
+    val name: String,
+    val incarnation: String,
+    val dataCentre: String,
+    val peerAddress: String,
+    val frontAddress: String,
+    val rank: Long?,
+    val ready: Boolean,
+    val leaving: Boolean,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -0,0 +1,73 @@
+package org.bulrushtack.core.daemon
+
+/**
+ * The forwarding daemons as one of them, [self], sees them. The oldest live one places work for all; two that both
+ * believe so for a moment only make their places worse, so no agreement is needed.
+ */
+public class DaemonTable(
+    self: DaemonInfo,
+) {
+    private val sightings = HashMap<String, DaemonSighting>()
+    private val suspectedAtMillis = HashMap<String, Long>()
+    private val unheard = HashMap<String, String>()
+
+    /** This daemon as it describes itself to others. */
+    public var self: DaemonInfo = self
+
+    /** Notes that [daemon] spoke at [atMillis]; [direct] when it was to this daemon. */
+    public fun heard(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
+        if (daemon.name == self.name) return
+        unheard.values.removeIf { it == daemon.peerAddress }
+        if (direct) suspectedAtMillis.remove(daemon.peerAddress)
+        val known = sightings[daemon.name]
+        if (known == null || known.heardAtMillis < atMillis) sightings[daemon.name] = DaemonSighting(daemon, atMillis)
+    }
+
+    /** Notes a daemon that is only known by its address; [label] tells it apart from others. */
+    public fun learn(label: String, peerAddress: String) {
+        val known = peerAddress == self.peerAddress || sightings.values.any { it.daemon.peerAddress == peerAddress }
+        if (!known) unheard[label] = peerAddress
+    }
+
+    /** Notes that the daemon at [peerAddress] did not answer. */
+    public fun failed(peerAddress: String, nowMillis: Long) {
+        suspectedAtMillis[peerAddress] = nowMillis
+    }
+
+    /** The daemons that may place work, the one to ask first at the head. */
+    public fun placers(nowMillis: Long): List<DaemonInfo> = (live(nowMillis) + self)
+        .filter { it.rank != null && it.ready && !it.leaving && !isSuspected(it.peerAddress, nowMillis) }
+        .sortedBy { it.rank }
+
+    /** The other daemons that were heard of lately. */
+    public fun live(nowMillis: Long): List<DaemonInfo> = liveSightings(nowMillis).map { it.daemon }
+
+    /** The other daemons that were heard of lately, each with the time. */
+    public fun liveSightings(nowMillis: Long): List<DaemonSighting> =
+        sightings.values.filter { nowMillis - it.heardAtMillis < ALIVE_MILLIS }
+
+    /** Addresses of daemons that this one has never heard. */
+    public fun unheardAddresses(): Collection<String> = unheard.values.toSet()
+
+    /** Forgets an address that leads nowhere. */
+    public fun forgetUnheard(peerAddress: String) {
+        unheard.values.removeIf { it == peerAddress }
+    }
+
+    /** Forgets daemons that have been silent for long, and gives them. */
+    public fun expire(nowMillis: Long): List<DaemonInfo> {
+        val silent = sightings.values.filter { nowMillis - it.heardAtMillis >= ALIVE_MILLIS }.map { it.daemon }
+        silent.forEach { sightings.remove(it.name) }
+        suspectedAtMillis.values.removeIf { nowMillis - it >= SUSPECT_MILLIS }
+        return silent
+    }
+
+    private fun isSuspected(peerAddress: String, nowMillis: Long): Boolean =
+        suspectedAtMillis[peerAddress].let { it != null && nowMillis - it < SUSPECT_MILLIS }
+}
+
+/** Five syncs; callers are told of a dead daemon for this long at most, and the same again while the news spreads. */
+private const val ALIVE_MILLIS = 2_000L
+
+/** How long a daemon that did not answer is passed over. */
+private const val SUSPECT_MILLIS = 1_500L
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/knowledge/RecordBatch.kt
@@ -0,0 +1,13 @@
+package org.bulrushtack.core.knowledge
+
+/**
+ * Records of one topic.
+ *
+ * @property complete whether [records] holds every key, so that a key that is missing was dropped
+ * @property endOffset the offset that follows the last record that the batch covers
+ */
+public data class RecordBatch(
+    val records: List<StoreRecord>,
+    val complete: Boolean,
+    val endOffset: Long,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/knowledge/StoreRecord.kt
@@ -0,0 +1,12 @@
+package org.bulrushtack.core.knowledge
+
+/**
+ * The newest record of a key.
+ *
+ * @property value the record's bytes, or null where the key was dropped
+ */
+public class StoreRecord(
+    public val key: String,
+    public val offset: Long,
+    public val value: ByteArray?,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/knowledge/StoreTopic.kt
@@ -0,0 +1,13 @@
+package org.bulrushtack.core.knowledge
+
+/** The sets of records in the platform's store that daemons follow. */
+public enum class StoreTopic {
+    /** What operators want: the configuration and the data centres that are taken out. */
+    OPERATOR,
+
+    /** The entries of backend servers. */
+    BACKEND_SERVERS,
+
+    /** The daemons themselves. */
+    DAEMONS,
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -0,0 +1,105 @@
+package org.bulrushtack.core.placement
+
+import org.bulrushtack.core.route.EngineProfile
+
+/** Looks for engines for one [request] among [loads]. */
+internal class EngineSearch(
+    private val request: PlacementRequest,
+    private val loads: List<EngineLoad>,
+    private val model: EngineModel,
+    private val profile: EngineProfile,
+    private val nowMillis: Long,
+) {
+    private val neededTokens = request.shape.promptTokens + request.shape.maximumAnswerTokens
+    private val wholeReadMillis = model.readMillis(request.shape.promptTokens)
+    private val leftMillis = request.objectiveAtMillis - nowMillis
+
+    /**
+     * The fewest engines that are in time, or, when it is too late for that however long it waits, those that are
+     * soonest.
+     */
+    fun find(): Placement? {
+        val options = PART_COUNTS.asSequence()
+            .filter { it == 1 || wholeReadMillis / it >= SHORTEST_PART_MILLIS }
+            .mapNotNull { option(it) }
+        val inTime = options.firstOrNull { it.firstEventMillis <= leftMillis * IN_TIME_SHARE }
+        return inTime ?: if (isHopeless()) options.minByOrNull { it.firstEventMillis } else null
+    }
+
+    private fun isHopeless(): Boolean {
+        val mostParts = (wholeReadMillis / SHORTEST_PART_MILLIS).toInt().coerceIn(1, PART_COUNTS.last())
+        return leftMillis * IN_TIME_SHARE < wholeReadMillis / mostParts + profile.stride * profile.stepMillis
+    }
+
+    private fun option(parts: Int): Placement? {
+        val partMillis = wholeReadMillis / parts
+        val perPass = model.longestReadMillis(partMillis, request.shape.promptTokens / parts)
+        val fitting = loads.filter { it.bearsReading(perPass) }.sortedBy { cost(it, partMillis) }
+        val first = fitting.firstOrNull { canWrite(it, parts) }
+        val helpers = fitting.asSequence().filter { it !== first }.take(parts - 1).toList()
+        if (first == null || helpers.size < parts - 1) return null
+        return place(first, helpers, partMillis)
+    }
+
+    private fun place(first: EngineLoad, helpers: List<EngineLoad>, partMillis: Double): Placement? {
+        val tickets = tickets(first, helpers) ?: return null
+        val chosen = helpers + first
+        val hopMillis = if (helpers.isEmpty()) 0.0 else profile.stride * profile.hopMillis
+        return Placement(
+            id = request.id,
+            first = PlacedPart(serverId = first.serverId, address = first.address),
+            helpers = tickets,
+            firstEventMillis = chosen.maxOf { it.firstEventMillis(partMillis) } + hopMillis,
+        )
+    }
+
+    /** The helpers with the memory to reserve at each, or null when it doesn't suffice. */
+    private fun tickets(first: EngineLoad, helpers: List<EngineLoad>): List<PlacedPart>? {
+        var missing = maxOf(0, neededTokens - first.freeTokens)
+        val share = if (helpers.isEmpty() || missing == 0L) 0 else neededTokens / (helpers.size + 1) + 1
+        val parts = helpers.map { helper ->
+            val tokens = minOf(maxOf(0, helper.freeTokens), share)
+            missing -= tokens
+            PlacedPart(serverId = helper.serverId, address = helper.address, ticketTokens = tokens)
+        }
+        return parts.takeIf { missing <= 0 }
+    }
+
+    private fun canWrite(load: EngineLoad, parts: Int): Boolean {
+        val share = if (parts == 1) neededTokens else neededTokens / parts + 1
+        return load.writers < profile.slots && load.freeTokens >= share && writesInTime(load)
+    }
+
+    private fun writesInTime(load: EngineLoad): Boolean = load.passMillis * load.slowness <= request.pauseMillis
+
+    private fun cost(load: EngineLoad, partMillis: Double): Double {
+        val short = partMillis < SHORT_READ_MILLIS
+        val mixed = load.shortestPauseMillis != null && load.shortestPauseMillis != request.pauseMillis
+        return load.firstEventMillis(partMillis) +
+            (if (mixed) MIXED_COST_MILLIS else 0.0) +
+            (if (short && load.isIdle) IDLE_COST_MILLIS else 0.0) -
+            (if (short) load.writers * PACKING_GAIN_MILLIS else 0.0) +
+            (if (load.dataCentre == request.dataCentre) 0.0 else FAR_COST_MILLIS) +
+            load.failureRate * FAILURE_COST_MILLIS
+    }
+}
+
+/** How many engines may read a prompt together, the first one included. */
+@Suppress("MagicNumber")
+private val PART_COUNTS = listOf(1, 2, 3, 4, 6, 8, 12, 16)
+
+/** Shorter parts gain nothing: a pass has to end before they are read. */
+private const val SHORTEST_PART_MILLIS = 60.0
+
+/** Prompts that are read within this time are packed together. */
+private const val SHORT_READ_MILLIS = 120.0
+
+/** Room for the errors of the prediction. */
+private const val IN_TIME_SHARE = 0.85
+
+/** Costs in milliseconds of the first event that placement accepts to avoid something. */
+private const val MIXED_COST_MILLIS = 150.0
+private const val IDLE_COST_MILLIS = 60.0
+private const val PACKING_GAIN_MILLIS = 2.0
+private const val FAR_COST_MILLIS = 3.0
+private const val FAILURE_COST_MILLIS = 600.0
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/PlacementQueue.kt
@@ -0,0 +1,32 @@
+package org.bulrushtack.core.placement
+
+/** Requests that wait for a place: those that can still be in time first, by their latest start, then the others. */
+internal class PlacementQueue {
+    private val waiting = LinkedHashMap<String, Entry>()
+
+    val size: Int get() = waiting.size
+
+    fun add(request: PlacementRequest, serviceMillis: Double) {
+        val latestStart = request.objectiveAtMillis - serviceMillis.toLong()
+        waiting[request.id] = Entry(request = request, latestStartMillis = latestStart)
+    }
+
+    fun remove(id: String): Boolean = waiting.remove(id) != null
+
+    fun removeTaker(taker: String) {
+        waiting.values.removeIf { it.request.taker == taker }
+    }
+
+    fun ordered(nowMillis: Long): List<PlacementRequest> = waiting.values
+        .sortedWith(
+            compareBy<Entry> { it.latestStartMillis < nowMillis }
+                .thenBy { it.request.priority }
+                .thenBy { it.latestStartMillis },
+        )
+        .map { it.request }
+
+    private data class Entry(
+        val request: PlacementRequest,
+        val latestStartMillis: Long,
+    )
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/route/RoutingConfiguration.kt
@@ -0,0 +1,14 @@
+package org.bulrushtack.core.route
+
+/**
+ * One version of the operators' configuration.
+ *
+ * @property workspaces the workspaces, or null where requests need no key at all
+ */
+public data class RoutingConfiguration(
+    val version: Long,
+    val routes: List<Route>,
+    val services: List<ServiceProfile>,
+    val limits: CallerLimits,
+    val workspaces: List<Workspace>?,
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/bulrushtack/core/route/RoutingTable.kt
@@ -0,0 +1,31 @@
+package org.bulrushtack.core.route
+
+/** Looks up routes, services and workspaces in one [configuration]. */
+public class RoutingTable(
+    public val configuration: RoutingConfiguration,
+) {
+    private val services = configuration.services.associateBy { it.name }
+    private val routes = configuration.routes
+        .groupBy { it.host }
+        .mapValues { (_, ofHost) -> ofHost.associateBy { it.pathPrefix } }
+    private val workspaces = configuration.workspaces.orEmpty()
+        .flatMap { workspace -> workspace.keys.map { it to workspace } }
+        .toMap()
+
+    /** Whether requests of routes that are not open need a workspace key. */
+    public val needsKey: Boolean = configuration.workspaces != null
+
+    /** The route of [host] with the longest prefix of [path]. */
+    public fun route(host: String, path: String): Route? {
+        val prefixes = routes[host.substringBefore(':').lowercase()] ?: return null
+        return generateSequence(path.lastIndexOf('/')) { end -> path.lastIndexOf('/', startIndex = end - 1) }
+            .takeWhile { it >= 0 }
+            .firstNotNullOfOrNull { prefixes[path.substring(0, it + 1)] }
+    }
+
+    /** What is known of the service called [name]. */
+    public fun service(name: String): ServiceProfile? = services[name]
+
+    /** The workspace that holds [key]. */
+    public fun workspace(key: String): Workspace? = workspaces[key]
+}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
@@ -7,8 +7,10 @@
 import kotlinx.cli.default
 import org.bulrushtack.core.membership.MemberIdentity
 import org.bulrushtack.daemon.life.Daemon
+import org.bulrushtack.daemon.life.ForwardingProcess
+import org.bulrushtack.daemon.settings.DaemonSettings
 import org.bulrushtack.daemon.settings.ProcessSettings
-import org.bulrushtack.daemon.settings.ProcessSettingsReader
+import org.bulrushtack.daemon.settings.SettingsFile
 import org.bulrushtack.program.ProgramLine
 import org.slf4j.LoggerFactory
 import java.nio.file.Path
@@ -22,25 +24,30 @@
     val file by parser.argument(type = ArgType.String, fullName = "FILE", description = "the settings file")
     val check by parser.option(ArgType.Boolean, fullName = "check", description = "only check FILE").default(false)
     if (!ProgramLine.parse(parser = parser, arguments = arguments, program = Daemon::class.java)) return
-    val settings = ProcessSettingsReader().read(Path.of(file)).fold(
+    val settings = SettingsFile(Path.of(file)).read().fold(
         ifLeft = { faults ->
             faults.forEach { System.err.println(it) }
             exitProcess(EXIT_SETTINGS)
         },
         ifRight = { it },
     )
-    if (check) println("$file: no faults") else run(settings)
+    if (check) println("$file: no faults") else run(settings, Path.of(file))
 }
 
-private fun run(settings: ProcessSettings) {
+private fun run(settings: DaemonSettings, file: Path) {
     val root = LoggerFactory.getLogger("bulrushtack") as Logger
     root.level = Level.toLevel(settings.logLevel)
-    val identity = MemberIdentity(
-        name = settings.name,
-        incarnation = "%012x-%08x".format(System.currentTimeMillis(), SecureRandom().nextInt()),
-        dataCentre = settings.dataCentre,
-    )
-    val daemon = Daemon(settings = settings, identity = identity, seed = SecureRandom().nextLong())
+    val random = SecureRandom()
+    val incarnation = "%012x-%08x".format(System.currentTimeMillis(), random.nextInt())
+    when (settings) {
+        is DaemonSettings.Entry -> run(settings.settings, incarnation, seed = random.nextLong())
+        is DaemonSettings.Forwarding -> ForwardingProcess(file, settings.settings, incarnation, random.nextLong()).run()
+    }
+}
+
+private fun run(settings: ProcessSettings, incarnation: String, seed: Long) {
+    val identity = MemberIdentity(name = settings.name, incarnation = incarnation, dataCentre = settings.dataCentre)
+    val daemon = Daemon(settings = settings, identity = identity, seed = seed)
     val ended = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         Thread {
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.control.ControlLoop
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.life.DaemonThreadFactory
 import java.util.concurrent.CompletableFuture
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/LogFollower.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/LogFollower.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.daemon.control
 
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.platform.LogPage
 import org.bulrushtack.core.platform.PlatformFailure
 import org.bulrushtack.core.platform.PlatformLog
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CallerGate.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CallerGate.kt
@@ -5,6 +5,7 @@
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
 import org.bulrushtack.daemon.life.DaemonMetrics
+import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.http.HttpExchange
 
 /** Lets only callers and operators with a right key in, and nobody before there is a configuration. */
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionResource.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/CompletionResource.kt
@@ -1,10 +1,10 @@
 package org.bulrushtack.daemon.front
 
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.request.CompletionRequest
 import org.bulrushtack.core.settings.SettingsPath
 import org.bulrushtack.core.settings.SettingsSchema
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.daemon.taking.CompletionEdge
 import org.bulrushtack.daemon.taking.CompletionMessage
 import org.bulrushtack.daemon.taking.CompletionSession
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/EntryResource.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/EntryResource.kt
@@ -6,6 +6,7 @@
 import org.bulrushtack.core.settings.SettingsPath
 import org.bulrushtack.core.settings.SettingsSchema
 import org.bulrushtack.daemon.control.ControlThread
+import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.http.HttpExchange
 import java.security.SecureRandom
 
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpFront.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpFront.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.life.DaemonMetrics
+import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.http.HttpExchange
 import org.bulrushtack.http.HttpFault
 import org.bulrushtack.http.HttpHandler
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/ServiceResource.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/ServiceResource.kt
@@ -5,12 +5,12 @@
 import arrow.core.right
 import org.bulrushtack.core.call.IdempotencyKey
 import org.bulrushtack.core.call.ServiceCall
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.settings.SettingsPath
 import org.bulrushtack.core.settings.SettingsSchema
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.daemon.taking.CallEdge
 import org.bulrushtack.http.HttpExchange
 import org.bulrushtack.http.HttpMessageRequest
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
@@ -10,17 +10,17 @@
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
 import org.bulrushtack.daemon.control.LogFollower
-import org.bulrushtack.daemon.control.SystemMonotonicClock
 import org.bulrushtack.daemon.control.VmPoller
 import org.bulrushtack.daemon.operator.TreeEditor
 import org.bulrushtack.daemon.owner.WorkRunner
-import org.bulrushtack.daemon.peer.PeerConnections
 import org.bulrushtack.daemon.peer.PeerLink
 import org.bulrushtack.daemon.peer.PeerService
 import org.bulrushtack.daemon.peer.RemoteOwner
 import org.bulrushtack.daemon.settings.ProcessSettings
 import org.bulrushtack.daemon.taking.CallEdge
 import org.bulrushtack.daemon.taking.CompletionEdge
+import org.bulrushtack.forward.SystemMonotonicClock
+import org.bulrushtack.forward.peer.PeerConnections
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.HttpClient
 import org.bulrushtack.http.HttpLimits
@@ -129,15 +129,16 @@
             metrics = metrics,
             edges = edges,
         )
+        val limits = HttpLimits(
+            bodyBytes = settings.bodyBytes,
+            headerBytes = settings.headerBytes,
+            requestMillis = settings.requestMillis,
+        )
         httpServer = HttpServer.start(
             group = group,
             host = settings.httpListen.host,
             port = settings.httpListen.port,
-            limits = HttpLimits(
-                bodyBytes = settings.bodyBytes,
-                headerBytes = settings.headerBytes,
-                requestMillis = settings.requestMillis,
-            ),
+            limits = { limits },
             handler = routes.front(),
         )
         peerServer = PeerService(control = control, runner = runner).start(group = group, place = settings.peerListen)
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Drain.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Drain.kt
@@ -2,11 +2,11 @@
 
 import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.settings.SettingsPath
 import org.bulrushtack.core.settings.SettingsSchema
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.http.HttpServer
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/RouteTable.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/RouteTable.kt
@@ -1,7 +1,7 @@
 package org.bulrushtack.daemon.life
 
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.daemon.front.Authenticator
 import org.bulrushtack.daemon.front.CallerGate
 import org.bulrushtack.daemon.front.CompletionResource
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/operator/TreeEditor.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/operator/TreeEditor.kt
@@ -6,6 +6,7 @@
 import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.log.FoldOutcome
@@ -17,7 +18,6 @@
 import org.bulrushtack.core.settings.SettingsTree
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import java.util.UUID
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/WorkRunner.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/owner/WorkRunner.kt
@@ -6,6 +6,7 @@
 import org.bulrushtack.core.backend.ServiceClient
 import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.dispatch.Work
 import org.bulrushtack.core.dispatch.WorkEnding
 import org.bulrushtack.core.dispatch.WorkId
@@ -16,7 +17,6 @@
 import org.bulrushtack.core.server.ServerSettings
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import java.util.concurrent.ConcurrentHashMap
 
 /** The owner's edge: takes work for owned backend servers, sends it, and reads what the servers say. */
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerLink.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerLink.kt
@@ -2,8 +2,9 @@
 
 import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
+import org.bulrushtack.forward.peer.PeerConnections
 import org.bulrushtack.protocol.PeerMethods
 import org.bulrushtack.protocol.ReadRecordsRequest
 
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerService.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerService.kt
@@ -17,7 +17,8 @@
 import org.bulrushtack.daemon.owner.AttemptOrder
 import org.bulrushtack.daemon.owner.CallOrder
 import org.bulrushtack.daemon.owner.WorkRunner
-import org.bulrushtack.daemon.settings.SocketPlace
+import org.bulrushtack.forward.peer.PeerConnections
+import org.bulrushtack.http.SocketPlace
 import org.bulrushtack.protocol.CallReply
 import org.bulrushtack.protocol.CallRequest
 import org.bulrushtack.protocol.ExecuteFrame
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/RemoteOwner.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/RemoteOwner.kt
@@ -12,6 +12,7 @@
 import org.bulrushtack.daemon.owner.CallOrder
 import org.bulrushtack.daemon.owner.CallSink
 import org.bulrushtack.daemon.owner.FrameSink
+import org.bulrushtack.forward.peer.PeerConnections
 import org.bulrushtack.protocol.CallReply
 import org.bulrushtack.protocol.CallRequest
 import org.bulrushtack.protocol.ExecuteFrame
--- /dev/null
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
@@ -0,0 +1,103 @@
+package org.bulrushtack.daemon.settings
+
+/** The keys of the settings file of a daemon that forwards requests on the platform. */
+enum class ForwardSettingsKey(
+    override val section: String,
+    override val key: String,
+    override val default: String?,
+    override val unit: String,
+    override val description: String,
+) : SettingsKey {
+    NAME(section = "daemon", key = "name", default = null, unit = "", description = "the VM's name"),
+    DATA_CENTRE(
+        section = "daemon",
+        key = "data-centre",
+        default = null,
+        unit = "",
+        description = "the VM's data centre",
+    ),
+    LOG_LEVEL(
+        section = "daemon",
+        key = "log-level",
+        default = "info",
+        unit = "",
+        description = "trace, debug, info, warn or error",
+    ),
+    GRACE(
+        section = "daemon",
+        key = "grace-seconds",
+        default = "8",
+        unit = "s",
+        description = "the time from SIGTERM to SIGKILL",
+    ),
+    FRONT_LISTEN(
+        section = "forward",
+        key = "listen",
+        default = null,
+        unit = "",
+        description = "IP number and port for callers",
+    ),
+    READINESS_LISTEN(
+        section = "forward",
+        key = "readiness",
+        default = null,
+        unit = "",
+        description = "IP number and port of the readiness answer",
+    ),
+    DIRECTORY_LISTEN(
+        section = "forward",
+        key = "directory",
+        default = null,
+        unit = "",
+        description = "IP number and port where callers ask for addresses",
+    ),
+    METRICS_LISTEN(
+        section = "forward",
+        key = "metrics",
+        default = null,
+        unit = "",
+        description = "IP number and port of the measures",
+    ),
+    DIRECTORY_KEEP(
+        section = "forward",
+        key = "directory-keep-seconds",
+        default = "2",
+        unit = "s",
+        description = "how long callers may keep a directory answer",
+    ),
+    RETRY_RATIO(
+        section = "forward",
+        key = "retry-ratio",
+        default = "0.2",
+        unit = "",
+        description = "resends to a service that each of its requests allows, all daemons together",
+    ),
+    RETRY_SLACK(
+        section = "forward",
+        key = "retry-slack",
+        default = "100",
+        unit = "resends",
+        description = "resends that are allowed beyond that",
+    ),
+    PEER_LISTEN(
+        section = "peers",
+        key = "listen",
+        default = null,
+        unit = "",
+        description = "IP number and port for other daemons",
+    ),
+    SEEDS(
+        section = "peers",
+        key = "seeds",
+        default = "",
+        unit = "",
+        description = "IP numbers on which other daemons may run",
+    ),
+    STORE(
+        section = "store",
+        key = "address",
+        default = null,
+        unit = "",
+        description = "IP number and port of the platform's store",
+    ),
+}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettings.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettings.kt
@@ -1,5 +1,7 @@
 package org.bulrushtack.daemon.settings
 
+import org.bulrushtack.http.SocketPlace
+
 /**
  * The settings of one daemon process.
  *
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsKey.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsKey.kt
@@ -1,18 +1,13 @@
 package org.bulrushtack.daemon.settings
 
-/**
- * The keys that a daemon's settings file may hold.
- *
- * @property default the value where the file has none; null for a key that must be there
- * @property unit the unit of a number, or an empty string
- */
+/** The keys that a daemon's settings file may hold. */
 enum class ProcessSettingsKey(
-    val section: String,
-    val key: String,
-    val default: String?,
-    val unit: String,
-    val description: String,
-) {
+    override val section: String,
+    override val key: String,
+    override val default: String?,
+    override val unit: String,
+    override val description: String,
+) : SettingsKey {
     NAME(section = "daemon", key = "name", default = null, unit = "", description = "the VM's name"),
     DATA_CENTRE(
         section = "daemon",
@@ -91,13 +86,4 @@
         unit = "s",
         description = "the longest time for a request to arrive",
     ),
-    ;
-
-    companion object {
-        /** The names of all sections. */
-        val sections: Set<String> = entries.map { it.section }.toSet()
-
-        /** The names of the keys of [section]. */
-        fun keysOf(section: String): List<String> = entries.filter { it.section == section }.map { it.key }
-    }
 }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionReporter.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionReporter.kt
@@ -1,10 +1,10 @@
 package org.bulrushtack.daemon.taking
 
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.daemon.PartLog
 import org.bulrushtack.daemon.control.ControlThread
-import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.daemon.life.DaemonMetrics
 
 /** Tells controllers, measures and the log how completions go; [onEnded] hears of each that ended. */
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
@@ -1,9 +1,9 @@
 package org.bulrushtack.daemon.taking
 
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.request.CompletionRequest
-import org.bulrushtack.daemon.control.MonotonicClock
 import org.bulrushtack.daemon.owner.FrameSink
 
 /**
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/StreamedCompletionWriter.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/StreamedCompletionWriter.kt
@@ -3,7 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.daemon.front.Json
-import org.bulrushtack.daemon.front.ProblemWriter
+import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.http.HttpExchange
 import org.bulrushtack.http.ResponseStream
 
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/WholeCompletionWriter.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/WholeCompletionWriter.kt
@@ -2,7 +2,7 @@
 
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.daemon.front.Json
-import org.bulrushtack.daemon.front.ProblemWriter
+import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.http.HttpExchange
 
 /** Collects an answer and gives it in one response. */
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ProcessSettingsReaderTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import org.apache.commons.configuration2.INIConfiguration
+import org.bulrushtack.http.SocketPlace
 import java.io.StringReader
 
 class ProcessSettingsReaderTest : AnnotationSpec() {
@@ -16,12 +18,14 @@
         address = 127.0.0.1:9000
     """.trimIndent()
 
+    private fun ini(text: String) = INIConfiguration().apply { read(StringReader(text)) }
+
     private fun faults(text: String): List<String> =
-        ProcessSettingsReader().read("vm.ini", StringReader(text)).leftOrNull().orEmpty().map { it.toString() }
+        ProcessSettingsReader().read("vm.ini", ini(text)).leftOrNull().orEmpty().map { it.toString() }
 
     @Test
     fun `a file with what must be there gets defaults for the rest`() {
-        val settings = ProcessSettingsReader().read("vm.ini", StringReader(good)).getOrNull()
+        val settings = ProcessSettingsReader().read("vm.ini", ini(good)).getOrNull()
 
         settings?.httpListen shouldBe SocketPlace("127.0.0.1", 8080)
         settings?.bodyBytes shouldBe 8_388_608
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
@@ -4,12 +4,12 @@
 import com.fasterxml.jackson.databind.ObjectMapper
 import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
 import org.bulrushtack.daemon.settings.ProcessSettings
-import org.bulrushtack.daemon.settings.SocketPlace
 import org.bulrushtack.http.ClientRequest
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.HttpClient
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageResponse
+import org.bulrushtack.http.SocketPlace
 import org.bulrushtack.standin.ListenOptions
 import org.bulrushtack.standin.engine.EngineOptions
 import org.bulrushtack.standin.engine.EngineStandIn
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
@@ -0,0 +1,63 @@
+package org.bulrushtack.forward
+
+import io.micrometer.core.instrument.Timer
+import io.micrometer.prometheusmetrics.PrometheusConfig
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.exchange.SendOutcome
+import org.bulrushtack.core.knowledge.StoreTopic
+import java.time.Duration
+
+/** The measures of a forwarding daemon. */
+class ForwardMetrics {
+    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+
+    /** The measures in the text form that Prometheus reads. */
+    fun scrape(): String = registry.scrape()
+
+    /** Registers a value that is read whenever the measures are. */
+    fun gauge(name: String, value: () -> Number) {
+        registry.gauge(name, value) { it().toDouble() }
+    }
+
+    /** Notes a request of [route] that was answered with a server's [status] after [millis]. */
+    fun answered(route: String, status: Int, millis: Long) {
+        registry.counter("bulrushtack.forward.answered", "route", route, "status", "$status").increment()
+        timer("bulrushtack.forward.answer", "route", route).record(Duration.ofMillis(millis))
+    }
+
+    /** Notes a request that ended with a problem. */
+    fun problem(kind: ErrorKind) =
+        registry.counter("bulrushtack.forward.problems", "kind", kind.code, "ran", kind.ran.wireName).increment()
+
+    /** Notes a request whose caller went away, or whose answer was broken off. */
+    fun ended(how: String) = registry.counter("bulrushtack.forward.ended", "how", how).increment()
+
+    /** Notes the end of one send to a server. */
+    fun sendEnded(outcome: SendOutcome) =
+        registry.counter("bulrushtack.forward.sends", "outcome", outcome.name.lowercase()).increment()
+
+    /** Notes the time from a request's arrival to the first event of its stream. */
+    fun firstEvent(route: String, millis: Long) =
+        timer("bulrushtack.forward.first.event", "route", route).record(Duration.ofMillis(millis))
+
+    /** Notes how long a request waited for its place. */
+    fun placed(millis: Long) = timer("bulrushtack.forward.place.wait", "kind", "engine").record(Duration.ofMillis(millis))
+
+    /** Notes a call to the platform's store. */
+    fun storeAnswered(topic: StoreTopic, millis: Long, failed: Boolean) {
+        val name = topic.name.lowercase()
+        timer("bulrushtack.forward.store", "topic", name).record(Duration.ofMillis(millis))
+        if (failed) registry.counter("bulrushtack.forward.store.failures", "topic", name).increment()
+    }
+
+    private fun timer(name: String, tag: String, value: String): Timer =
+        Timer.builder(name).tag(tag, value).serviceLevelObjectives(*BUCKETS).register(registry)
+
+    private companion object {
+        @Suppress("MagicNumber")
+        val BUCKETS: Array<Duration> =
+            listOf(5L, 20, 50, 100, 200, 300, 500, 1_000, 1_500, 3_000, 5_000, 10_000).map { Duration.ofMillis(it) }
+                .toTypedArray()
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
@@ -0,0 +1,36 @@
+package org.bulrushtack.forward
+
+import org.bulrushtack.http.SocketPlace
+
+/**
+ * The settings of a daemon that forwards requests on the platform.
+ *
+ * @property name the VM's name
+ * @property frontListen host and port for callers
+ * @property readinessListen host and port of the readiness answer
+ * @property directoryListen host and port where callers ask for addresses
+ * @property peerListen host and port for other daemons
+ * @property metricsListen host and port of the measures
+ * @property seeds hosts on which other daemons may run
+ * @property storeAddress host and port of the platform's store
+ * @property graceMillis the time from SIGTERM to SIGKILL
+ * @property retryRatio the resends to a service that each of its requests allows, all daemons together
+ * @property retrySlack the resends that are allowed beyond that
+ * @property directoryKeepMillis how long callers may keep a directory answer
+ */
+data class ForwardSettings(
+    val name: String,
+    val dataCentre: String,
+    val frontListen: SocketPlace,
+    val readinessListen: SocketPlace,
+    val directoryListen: SocketPlace,
+    val peerListen: SocketPlace,
+    val metricsListen: SocketPlace,
+    val seeds: List<String>,
+    val storeAddress: SocketPlace,
+    val graceMillis: Long,
+    val retryRatio: Double,
+    val retrySlack: Double,
+    val directoryKeepMillis: Long,
+    val logLevel: String,
+)
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ProblemWriter.kt
@@ -0,0 +1,51 @@
+package org.bulrushtack.forward
+
+import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RetryAdvice
+import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.HttpMessageResponse
+import java.util.Locale
+
+/** Writes problems as problem documents (RFC 9457). */
+object ProblemWriter {
+    private val mapper = ObjectMapper()
+
+    /** The whole response for [problem] of request [requestId]; where waiting helps, after [retryAfterMillis]. */
+    fun response(
+        problem: Problem,
+        requestId: String,
+        retryAfterMillis: Long = DEFAULT_RETRY_MILLIS,
+    ): HttpMessageResponse = HttpMessageResponse(
+        status = problem.kind.status,
+        contentType = "application/problem+json",
+        body = mapper.writeValueAsBytes(document(problem = problem, requestId = requestId)),
+        headers = headers(problem = problem, retryAfterMillis = retryAfterMillis),
+    )
+
+    /** The document alone, as a stream gives it after its answer has begun. */
+    fun document(problem: Problem, requestId: String): ObjectNode = mapper.createObjectNode()
+        .put("type", "urn:bulrushtack:error:${problem.kind.code}")
+        .put("title", problem.kind.text)
+        .put("status", problem.kind.status)
+        .put("detail", problem.detail)
+        .put("kind", problem.kind.code)
+        .put("ran", problem.kind.ran.wireName)
+        .put("retry", problem.kind.retry.wireName)
+        .put("request_id", requestId)
+
+    private fun headers(problem: Problem, retryAfterMillis: Long): HttpHeaderList {
+        val waits = problem.kind.retry != RetryAdvice.NEVER
+        return if (waits) HttpHeaderList().with("retry-after", seconds(retryAfterMillis)) else HttpHeaderList()
+    }
+
+    private fun seconds(millis: Long): String {
+        val whole = millis % MILLIS_PER_SECOND == 0L
+        return if (whole) "${millis / MILLIS_PER_SECOND}" else "%.1f".format(Locale.ROOT, millis / MILLIS_PER_SECOND_FLOAT)
+    }
+}
+
+private const val DEFAULT_RETRY_MILLIS = 1_000L
+private const val MILLIS_PER_SECOND = 1_000L
+private const val MILLIS_PER_SECOND_FLOAT = 1_000.0
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/SystemMonotonicClock.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/SystemMonotonicClock.kt
@@ -1,4 +1,6 @@
-package org.bulrushtack.daemon.control
+package org.bulrushtack.forward
+
+import org.bulrushtack.core.control.MonotonicClock
 
 /** The operating system's monotonic clock. */
 class SystemMonotonicClock : MonotonicClock {
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -0,0 +1,123 @@
+package org.bulrushtack.forward.exchange
+
+import org.bulrushtack.core.exchange.SendOutcome
+import org.bulrushtack.forward.wire.AnswerHead
+import org.bulrushtack.forward.wire.ExchangeCodec
+import org.bulrushtack.http.ClientCall
+import org.bulrushtack.http.ClientRequest
+import org.bulrushtack.http.HttpClient
+import org.bulrushtack.http.HttpFailure
+import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.HttpMessageResponse
+import org.bulrushtack.http.ResponseListener
+import java.io.ByteArrayOutputStream
+
+/** One send of a request to one server, on a connection of its own. A success goes to [relay] as it arrives. */
+internal class BackendSend(
+    private val codec: ExchangeCodec,
+    private val attemptId: String,
+    private val target: SendTarget,
+    private val relay: AnswerRelay,
+    private val onEnd: (SendEnd) -> Unit,
+) : ResponseListener {
+    private var call: ClientCall? = null
+    private var ended = false
+    private var head: AnswerHead? = null
+    private var status = 0
+    private var headers = HttpHeaderList()
+    private val failureBody = ByteArrayOutputStream()
+
+    /** Whether any part of a success has arrived. */
+    val isAnswered: Boolean get() = head != null
+
+    /** Sends [request]. */
+    fun start(client: HttpClient, request: ClientRequest) {
+        relay.onWritable { call?.setReading(true) }
+        call = client.send(request = request, listener = this)
+    }
+
+    /** Breaks it off; nothing more is heard. */
+    fun cancel() {
+        ended = true
+        call?.cancel()
+    }
+
+    /** Breaks it off because the server is silent. */
+    fun giveUp(reason: String) {
+        end(outcome = SendOutcome.UNKNOWN, reason = reason)
+        call?.cancel()
+    }
+
+    override fun onHead(status: Int, headers: HttpHeaderList) {
+        if (ended) return
+        val answer = codec.answerHead(status = status, headers = headers, attemptId = attemptId)
+        head = answer
+        this.status = status
+        this.headers = headers
+        when {
+            answer.notRun -> endNotRun(answer)
+            !answer.belongs -> breakOff("the answer belongs to another request")
+            isSuccess && !answer.signed -> breakOff("the answer bears no signature")
+            isSuccess -> relay.open(status = status, headers = codec.answerHeaders(headers))
+        }
+    }
+
+    override fun onData(bytes: ByteArray) {
+        if (ended) return
+        if (!isSuccess) {
+            if (failureBody.size() < MAXIMUM_FAILURE_BYTES) failureBody.writeBytes(bytes)
+        } else if (!relay.accept(bytes)) {
+            call?.setReading(false)
+        }
+    }
+
+    override fun onEnd() {
+        if (ended) return
+        if (isSuccess) {
+            relay.complete()
+            end(outcome = SendOutcome.DELIVERED, reason = "whole")
+        } else {
+            end(outcome = SendOutcome.ANSWERED_WITH_FAILURE, reason = "status $status", failure = failure())
+        }
+    }
+
+    override fun onFailure(failure: HttpFailure) {
+        val outcome = if (failure.sent) SendOutcome.UNKNOWN else SendOutcome.NOT_SENT
+        end(outcome = outcome, reason = failure.reason)
+    }
+
+    private val isSuccess: Boolean get() = status in SUCCESS
+
+    private fun endNotRun(answer: AnswerHead) {
+        val reason = if (answer.misdirected) MISDIRECTED else "not run, status $status"
+        end(outcome = SendOutcome.NOT_RUN, reason = reason)
+        call?.cancel()
+    }
+
+    private fun breakOff(reason: String) {
+        end(outcome = SendOutcome.UNKNOWN, reason = reason)
+        call?.cancel()
+    }
+
+    private fun failure() = HttpMessageResponse(
+        status = status,
+        contentType = null,
+        body = failureBody.toByteArray(),
+        headers = codec.answerHeaders(headers),
+    )
+
+    private fun end(outcome: SendOutcome, reason: String, failure: HttpMessageResponse? = null) {
+        if (ended) return
+        ended = true
+        val faulty = target.idOf(head?.faultyAddress)
+        onEnd(SendEnd(outcome = outcome, reason = reason, faultyServerId = faulty, failure = failure))
+    }
+
+    companion object {
+        /** The reason of a send that met another server at the address. */
+        const val MISDIRECTED: String = "another server answers at the address"
+    }
+}
+
+private val SUCCESS = 200..299
+private const val MAXIMUM_FAILURE_BYTES = 65_536
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
@@ -0,0 +1,29 @@
+package org.bulrushtack.forward.exchange
+
+import io.netty.channel.EventLoop
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.placement.PlainServerChoice
+import org.bulrushtack.core.placement.ServerHealth
+import org.bulrushtack.forward.ForwardMetrics
+import org.bulrushtack.forward.knowledge.ForwardState
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.placement.PlaceFinder
+import org.bulrushtack.forward.wire.ExchangeCodec
+import org.bulrushtack.http.HttpClient
+import kotlin.random.Random
+
+/** What every forwarded request needs. */
+internal data class ExchangeTools(
+    val state: ForwardState,
+    val codec: ExchangeCodec,
+    val client: HttpClient,
+    val places: PlaceFinder,
+    val plainChoice: PlainServerChoice,
+    val health: ServerHealth,
+    val budgets: RetryBudgets,
+    val clock: MonotonicClock,
+    val loop: EventLoop,
+    val random: Random,
+    val metrics: ForwardMetrics,
+    val log: EventLog,
+)
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -0,0 +1,88 @@
+package org.bulrushtack.forward.exchange
+
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.route.Route
+import org.bulrushtack.core.route.RoutingTable
+import org.bulrushtack.core.route.Workspace
+import org.bulrushtack.forward.ProblemWriter
+import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.forward.wire.CallerHead
+import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpFault
+import org.bulrushtack.http.HttpHandler
+import org.bulrushtack.http.HttpMessageResponse
+
+/** Admits callers' requests: finds the route and the workspace, and refuses what no configuration allows. */
+internal class ForwardHandler(
+    private val tools: ExchangeTools,
+    private val drain: DrainState,
+) : HttpHandler {
+    private val active = HashSet<ForwardedExchange>()
+
+    override val isClosing: Boolean get() = tools.state.draining
+
+    /** How many requests are not answered yet. */
+    val activeCount: Int get() = active.size
+
+    override fun handle(exchange: HttpExchange) {
+        val head = tools.codec.callerHead(exchange.request.headers)
+        val routing = tools.state.routing
+        val kind = when {
+            drain.refusesNew(tools.clock.nowMillis()) -> ErrorKind.DRAINING
+            routing == null -> ErrorKind.NOT_READY
+            head.attemptId == null -> ErrorKind.MALFORMED_REQUEST
+            else -> null
+        }
+        if (kind == null) route(exchange, head, checkNotNull(routing)) else refuse(exchange, head, kind)
+    }
+
+    override fun answerFault(fault: HttpFault): HttpMessageResponse {
+        val kind = when (fault) {
+            HttpFault.MALFORMED -> ErrorKind.MALFORMED_REQUEST
+            HttpFault.HEADERS_TOO_LARGE -> ErrorKind.HEADERS_TOO_LARGE
+            HttpFault.BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
+            HttpFault.INCOMPLETE -> ErrorKind.REQUEST_INCOMPLETE
+        }
+        tools.metrics.problem(kind)
+        tools.log.info("A request could not be read.", LogField("kind", kind.code))
+        return ProblemWriter.response(problem = Problem(kind), requestId = "unknown")
+    }
+
+    private fun route(exchange: HttpExchange, head: CallerHead, routing: RoutingTable) {
+        val request = exchange.request
+        val route = routing.route(host = request.headers.find("host").orEmpty(), path = request.target.substringBefore('?'))
+        val workspace = head.key?.let { routing.workspace(it) }
+        when {
+            route == null -> refuse(exchange, head, ErrorKind.UNKNOWN_PATH)
+            routing.needsKey && !route.open && workspace == null -> refuse(exchange, head, ErrorKind.UNAUTHENTICATED)
+            else -> forward(exchange, head, route, workspace)
+        }
+    }
+
+    private fun forward(exchange: HttpExchange, head: CallerHead, route: Route, workspace: Workspace?) {
+        val forwarded = ForwardedExchange(
+            tools = tools,
+            exchange = exchange,
+            caller = head,
+            route = route,
+            workspace = workspace,
+            onEnd = { active.remove(it) },
+        )
+        active.add(forwarded)
+        forwarded.start()
+    }
+
+    private fun refuse(exchange: HttpExchange, head: CallerHead, kind: ErrorKind) {
+        val requestId = head.attemptId ?: "unknown"
+        tools.metrics.problem(kind)
+        tools.log.info(
+            "A request was refused at admission.",
+            LogField("request", requestId),
+            LogField("kind", kind.code),
+            LogField("status", kind.status),
+            LogField("version", tools.state.routing?.configuration?.version),
+        )
+        exchange.respond(ProblemWriter.response(problem = Problem(kind), requestId = requestId))
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendEnd.kt
@@ -0,0 +1,17 @@
+package org.bulrushtack.forward.exchange
+
+import org.bulrushtack.core.exchange.SendOutcome
+import org.bulrushtack.http.HttpMessageResponse
+
+/**
+ * How one send ended.
+ *
+ * @property faultyServerId the server that it says something about
+ * @property failure the server's own answer, where it is a failure that the caller may get
+ */
+internal data class SendEnd(
+    val outcome: SendOutcome,
+    val reason: String,
+    val faultyServerId: String,
+    val failure: HttpMessageResponse? = null,
+)
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/KnowledgeBase.kt
@@ -0,0 +1,91 @@
+package org.bulrushtack.forward.knowledge
+
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.knowledge.FactDecoder
+import org.bulrushtack.core.knowledge.PlatformFact
+import org.bulrushtack.core.knowledge.RecordBatch
+import org.bulrushtack.core.knowledge.StoreRecord
+import org.bulrushtack.core.knowledge.StoreTopic
+import org.bulrushtack.core.knowledge.TopicKnowledge
+import org.bulrushtack.core.route.RoutingTable
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+
+/** Takes records over from the platform's store and from peers, and keeps [state] up to date with what they mean. */
+internal class KnowledgeBase(
+    private val state: ForwardState,
+    private val decoder: FactDecoder,
+    private val peers: PeerRecords,
+    private val clock: MonotonicClock,
+    private val log: EventLog,
+) {
+    private val topics = StoreTopic.entries.associateWith { Topic() }
+    private val fleet = FleetFacts(fleet = state.fleet, log = log)
+
+    /** Takes [batch] over, which the store gave [ageMillis] ago to [source]. */
+    fun merge(topic: StoreTopic, batch: RecordBatch, ageMillis: Long, source: String) {
+        val nowMillis = clock.nowMillis()
+        val known = topics.getValue(topic)
+        val lapseMillis = if (ageMillis(topic) > TROUBLE_MILLIS) LAPSE_MILLIS else 0
+        known.confirmedAtMillis = maxOf(known.confirmedAtMillis ?: Long.MIN_VALUE, nowMillis - ageMillis)
+        if (batch.endOffset >= known.knowledge.endOffset) {
+            known.knowledge.merge(batch).forEach { record ->
+                val context = FactContext(nowMillis = nowMillis, lapseMillis = lapseMillis, source = source)
+                if (topic == StoreTopic.DAEMONS) peers.take(record) else apply(topic, record, context)
+            }
+        }
+    }
+
+    /** The time since the store was last asked for [topic], by this daemon or another. */
+    fun ageMillis(topic: StoreTopic): Long =
+        topics.getValue(topic).confirmedAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
+
+    /** The offset that follows the last known record of [topic], or -1. */
+    fun endOffset(topic: StoreTopic): Long = topics.getValue(topic).knowledge.endOffset
+
+    /** What a peer that knows [topic] up to [offset] has missed. */
+    fun since(topic: StoreTopic, offset: Long): RecordBatch? = topics.getValue(topic).knowledge.since(offset)
+
+    private fun apply(topic: StoreTopic, record: StoreRecord, context: FactContext) {
+        when (val fact = decoder.decode(topic, record)) {
+            is PlatformFact.Configuration -> configure(fact, record, context)
+            is PlatformFact.DataCentre -> fleet.setTakenOut(fact, record, context)
+            is PlatformFact.ServerListed -> fleet.list(fact.entry, context)
+            is PlatformFact.ServerDropped -> fleet.drop(fact.id, context)
+            is PlatformFact.Unreadable -> {
+                fact.id?.let { fleet.drop(it, context.copy(lapseMillis = 0)) }
+                log.warn(
+                    "A record can't be used.",
+                    LogField("key", record.key),
+                    LogField("offset", record.offset),
+                    LogField("reason", fact.reason),
+                )
+            }
+            PlatformFact.Irrelevant -> Unit
+        }
+    }
+
+    private fun configure(fact: PlatformFact.Configuration, record: StoreRecord, context: FactContext) {
+        val previous = state.routing?.configuration?.version
+        state.routing = RoutingTable(fact.configuration)
+        log.info(
+            "The configuration is in force.",
+            LogField("version", fact.configuration.version),
+            LogField("previous", previous),
+            LogField("offset", record.offset),
+            LogField("source", context.source),
+            LogField("routes", fact.configuration.routes.size),
+        )
+    }
+
+    private class Topic {
+        val knowledge = TopicKnowledge()
+        var confirmedAtMillis: Long? = null
+    }
+}
+
+/** Longer without an answer of the store, entries may have lapsed although their servers live. */
+private const val TROUBLE_MILLIS = 1_500L
+
+/** The platform says that lapsed entries of living servers are back about two seconds after the store is. */
+private const val LAPSE_MILLIS = 2_200L
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/PeerRecords.kt
@@ -0,0 +1,29 @@
+package org.bulrushtack.forward.knowledge
+
+import com.google.protobuf.InvalidProtocolBufferException
+import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.knowledge.StoreRecord
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.protocol.DaemonRecord
+
+/** Reads the records that daemons write about themselves, so that they find one another. */
+internal class PeerRecords(
+    private val daemons: DaemonTable,
+    private val log: EventLog,
+) {
+    /** Takes the address in [record] over; the daemon counts as live only once it was heard. */
+    fun take(record: StoreRecord) {
+        val value = record.value ?: return
+        try {
+            val daemon = DaemonRecord.parseFrom(value)
+            if (daemon.name != daemons.self.name) daemons.learn(label = daemon.name, peerAddress = daemon.peerAddress)
+        } catch (exception: InvalidProtocolBufferException) {
+            log.warn(
+                "A daemon's record can't be read.",
+                LogField("key", record.key),
+                LogField("reason", exception.message),
+            )
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/StoreFollower.kt
@@ -0,0 +1,94 @@
+package org.bulrushtack.forward.knowledge
+
+import arrow.core.Either
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.knowledge.RecordBatch
+import org.bulrushtack.core.knowledge.RecordStore
+import org.bulrushtack.core.knowledge.StoreTopic
+import org.bulrushtack.core.platform.PlatformFailure
+import org.bulrushtack.forward.ForwardMetrics
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+import java.util.concurrent.Executor
+
+/**
+ * Reads the operators' records and the entries of backend servers from the store. One daemon reads often and the others
+ * hear of it from that one; a daemon that has heard nothing for a while reads itself.
+ */
+internal class StoreFollower(
+    private val store: RecordStore,
+    private val knowledge: KnowledgeBase,
+    private val clock: MonotonicClock,
+    private val thread: Executor,
+    private val metrics: ForwardMetrics,
+    private val log: EventLog,
+) {
+    private val calls = FOLLOWED.associateWith { Call() }
+    private var lost = false
+
+    /** Asks the store where that is due; [reader] says whether this daemon reads for all. */
+    fun tick(reader: Boolean) {
+        val nowMillis = clock.nowMillis()
+        FOLLOWED.forEach { topic ->
+            val call = calls.getValue(topic)
+            val stale = knowledge.ageMillis(topic) > STALE_MILLIS
+            val due = (reader || stale) && nowMillis - call.askedAtMillis >= INTERVAL_MILLIS
+            if (due && !call.inFlight) ask(topic, call, nowMillis)
+        }
+    }
+
+    /** Reads the daemons' own records once. */
+    fun readDaemons() {
+        store.newest(StoreTopic.DAEMONS).thenAcceptAsync(
+            { answer -> answer.onRight { knowledge.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = SOURCE) } },
+            thread,
+        )
+    }
+
+    private fun ask(topic: StoreTopic, call: Call, nowMillis: Long) {
+        call.inFlight = true
+        call.askedAtMillis = nowMillis
+        val offset = knowledge.endOffset(topic)
+        val answer = if (offset < 0) store.newest(topic) else store.read(topic, offset, waitMillis = 0)
+        answer.thenAcceptAsync({ take(topic, call, it) }, thread)
+    }
+
+    private fun take(topic: StoreTopic, call: Call, answer: Either<PlatformFailure, RecordBatch>) {
+        val tookMillis = clock.nowMillis() - call.askedAtMillis
+        call.inFlight = false
+        metrics.storeAnswered(topic = topic, millis = tookMillis, failed = answer.isLeft())
+        answer.fold(
+            ifLeft = { if (!lost) noteLost(topic, it) },
+            ifRight = { batch ->
+                if (lost) log.info("The platform's store answers again.", LogField("topic", topic))
+                lost = false
+                knowledge.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
+            },
+        )
+    }
+
+    private fun noteLost(topic: StoreTopic, failure: PlatformFailure) {
+        lost = true
+        log.warn(
+            "The platform's store gave no answer.",
+            LogField("topic", topic),
+            LogField("reason", failure.reason),
+            LogField("known_to", knowledge.endOffset(topic)),
+            LogField("age_millis", knowledge.ageMillis(topic)),
+        )
+    }
+
+    private class Call {
+        var inFlight = false
+        var askedAtMillis = Long.MIN_VALUE / 2
+    }
+}
+
+private const val SOURCE = "store"
+private val FOLLOWED = listOf(StoreTopic.OPERATOR, StoreTopic.BACKEND_SERVERS)
+
+/** A change has two seconds to reach every daemon; half a second of it may pass here, the rest on the way on. */
+private const val INTERVAL_MILLIS = 500L
+
+/** Two missed syncs after a read. */
+private const val STALE_MILLIS = 1_100L
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/QuestionHandler.kt
@@ -0,0 +1,23 @@
+package org.bulrushtack.forward.life
+
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
+import org.bulrushtack.forward.ProblemWriter
+import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpFault
+import org.bulrushtack.http.HttpHandler
+import org.bulrushtack.http.HttpMessageRequest
+import org.bulrushtack.http.HttpMessageResponse
+
+/** Answers short questions at once: [answer] gives the response, or the kind of problem. */
+internal class QuestionHandler(
+    private val answer: (HttpMessageRequest) -> HttpMessageResponse?,
+) : HttpHandler {
+    override fun handle(exchange: HttpExchange) {
+        exchange.respond(answer(exchange.request) ?: problem(ErrorKind.UNKNOWN_PATH))
+    }
+
+    override fun answerFault(fault: HttpFault): HttpMessageResponse = problem(ErrorKind.MALFORMED_REQUEST)
+
+    private fun problem(kind: ErrorKind) = ProblemWriter.response(problem = Problem(kind), requestId = "none")
+}
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationMessages.kt
@@ -0,0 +1,113 @@
+package org.bulrushtack.forward.peer
+
+import com.google.protobuf.ByteString
+import org.bulrushtack.core.daemon.DaemonInfo
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.knowledge.RecordBatch
+import org.bulrushtack.core.knowledge.StoreRecord
+import org.bulrushtack.core.knowledge.StoreTopic
+import org.bulrushtack.core.placement.PlacedPart
+import org.bulrushtack.core.placement.Placement
+import org.bulrushtack.core.placement.PlacementDecision
+import org.bulrushtack.protocol.DaemonRecord
+import org.bulrushtack.protocol.PlacePart
+import org.bulrushtack.protocol.PlaceRefused
+import org.bulrushtack.protocol.PlaceReply
+import org.bulrushtack.protocol.PlaceWaiting
+import org.bulrushtack.protocol.Placed
+import org.bulrushtack.protocol.TopicBatch
+import org.bulrushtack.protocol.TopicRecord
+
+/** Turns the messages between forwarding daemons into the daemon's own types and back. */
+internal object CoordinationMessages {
+    fun toWire(daemon: DaemonInfo, ageMillis: Long): DaemonRecord = DaemonRecord.newBuilder()
+        .setName(daemon.name)
+        .setIncarnation(daemon.incarnation)
+        .setDataCentre(daemon.dataCentre)
+        .setPeerAddress(daemon.peerAddress)
+        .setFrontAddress(daemon.frontAddress)
+        .setRank(daemon.rank ?: NO_RANK)
+        .setReady(daemon.ready)
+        .setLeaving(daemon.leaving)
+        .setAgeMillis(ageMillis)
+        .build()
+
+    fun fromWire(record: DaemonRecord): DaemonInfo = DaemonInfo(
+        name = record.name,
+        incarnation = record.incarnation,
+        dataCentre = record.dataCentre,
+        peerAddress = record.peerAddress,
+        frontAddress = record.frontAddress,
+        rank = record.rank.takeIf { it != NO_RANK },
+        ready = record.ready,
+        leaving = record.leaving,
+    )
+
+    fun toWire(topic: StoreTopic, batch: RecordBatch, ageMillis: Long): TopicBatch = TopicBatch.newBuilder()
+        .setTopic(topic.name)
+        .setComplete(batch.complete)
+        .setEndOffset(batch.endOffset)
+        .setAgeMillis(ageMillis)
+        .addAllRecords(batch.records.map { toWire(it) })
+        .build()
+
+    fun fromWire(batch: TopicBatch): RecordBatch = RecordBatch(
+        records = batch.recordsList.map { record ->
+            val value = if (record.dropped) null else record.value.toByteArray()
+            StoreRecord(key = record.key, offset = record.offset, value = value)
+        },
+        complete = batch.complete,
+        endOffset = batch.endOffset,
+    )
+
+    fun toWire(decision: PlacementDecision): PlaceReply = when (decision) {
+        is PlacementDecision.Waiting -> PlaceReply.newBuilder().setWaiting(PlaceWaiting.getDefaultInstance())
+        is PlacementDecision.Placed -> PlaceReply.newBuilder().setPlaced(placed(decision))
+        is PlacementDecision.Refused -> PlaceReply.newBuilder().setRefused(
+            PlaceRefused.newBuilder().setKind(decision.kind.code).setRetryAfterMillis(decision.retryAfterMillis),
+        )
+    }.build()
+
+    fun fromWire(id: String, reply: PlaceReply): PlacementDecision = when (reply.resultCase) {
+        PlaceReply.ResultCase.PLACED -> PlacementDecision.Placed(
+            placement = Placement(
+                id = id,
+                first = part(reply.placed.first),
+                helpers = reply.placed.helpersList.map { part(it) },
+                firstEventMillis = reply.placed.firstEventMillis,
+            ),
+            waitedMillis = reply.placed.waitedMillis,
+        )
+        PlaceReply.ResultCase.REFUSED -> PlacementDecision.Refused(
+            id = id,
+            kind = ErrorKind.fromCode(reply.refused.kind),
+            retryAfterMillis = reply.refused.retryAfterMillis,
+        )
+        else -> PlacementDecision.Waiting(id)
+    }
+
+    private fun placed(decision: PlacementDecision.Placed): Placed = Placed.newBuilder()
+        .setFirst(part(decision.placement.first))
+        .addAllHelpers(decision.placement.helpers.map { part(it) })
+        .setFirstEventMillis(decision.placement.firstEventMillis)
+        .setWaitedMillis(decision.waitedMillis)
+        .build()
+
+    private fun part(part: PlacedPart): PlacePart = PlacePart.newBuilder()
+        .setServerId(part.serverId)
+        .setAddress(part.address)
+        .setTicketTokens(part.ticketTokens)
+        .build()
+
+    private fun part(part: PlacePart): PlacedPart =
+        PlacedPart(serverId = part.serverId, address = part.address, ticketTokens = part.ticketTokens)
+
+    private fun toWire(record: StoreRecord): TopicRecord = TopicRecord.newBuilder()
+        .setKey(record.key)
+        .setOffset(record.offset)
+        .setDropped(record.value == null)
+        .setValue(record.value?.let { ByteString.copyFrom(it) } ?: ByteString.EMPTY)
+        .build()
+}
+
+private const val NO_RANK = -1L
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationService.kt
@@ -0,0 +1,69 @@
+package org.bulrushtack.forward.peer
+
+import io.grpc.Server
+import io.grpc.ServerServiceDefinition
+import io.grpc.netty.NettyServerBuilder
+import io.grpc.stub.ServerCallStreamObserver
+import io.grpc.stub.ServerCalls
+import io.grpc.stub.StreamObserver
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.placement.PlacementDecision
+import org.bulrushtack.forward.placement.PlacementBroker
+import org.bulrushtack.http.SocketPlace
+import org.bulrushtack.protocol.CoordinationMethods
+import org.bulrushtack.protocol.PlaceReply
+import org.bulrushtack.protocol.PlaceRequest
+import org.bulrushtack.protocol.ReleaseReply
+import org.bulrushtack.protocol.ReleaseRequest
+import org.bulrushtack.protocol.SyncReply
+import org.bulrushtack.protocol.SyncRequest
+import java.net.InetSocketAddress
+
+/** What a forwarding daemon does for its peers. */
+internal class CoordinationService(
+    private val sync: PeerSync,
+    private val broker: PlacementBroker,
+    private val clock: MonotonicClock,
+) {
+    /** Listens at [place]. */
+    fun start(group: EventLoopGroup, place: SocketPlace): Server =
+        NettyServerBuilder.forAddress(InetSocketAddress(place.host, place.port))
+            .bossEventLoopGroup(group)
+            .workerEventLoopGroup(group)
+            .channelType(NioServerSocketChannel::class.java)
+            .directExecutor()
+            .addService(definition())
+            .build()
+            .start()
+
+    private fun definition(): ServerServiceDefinition =
+        ServerServiceDefinition.builder(CoordinationMethods.SERVICE_NAME)
+            .addMethod(CoordinationMethods.SYNC, ServerCalls.asyncUnaryCall(::sync))
+            .addMethod(CoordinationMethods.PLACE, ServerCalls.asyncServerStreamingCall(::place))
+            .addMethod(CoordinationMethods.RELEASE, ServerCalls.asyncUnaryCall(::release))
+            .build()
+
+    private fun sync(request: SyncRequest, observer: StreamObserver<SyncReply>) {
+        observer.onNext(sync.answer(request))
+        observer.onCompleted()
+    }
+
+    private fun place(request: PlaceRequest, observer: StreamObserver<PlaceReply>) {
+        val calls = observer as ServerCallStreamObserver<PlaceReply>
+        calls.setOnCancelHandler { broker.withdrawHere(request.id) }
+        broker.placeHere(PlacementMessages.fromWire(request, clock.nowMillis())) { decision ->
+            if (!calls.isCancelled) {
+                calls.onNext(CoordinationMessages.toWire(decision))
+                if (decision !is PlacementDecision.Waiting) calls.onCompleted()
+            }
+        }
+    }
+
+    private fun release(request: ReleaseRequest, observer: StreamObserver<ReleaseReply>) {
+        broker.releaseHere(PlacementMessages.fromWire(request))
+        observer.onNext(ReleaseReply.getDefaultInstance())
+        observer.onCompleted()
+    }
+}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerConnections.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
@@ -1,4 +1,4 @@
-package org.bulrushtack.daemon.peer
+package org.bulrushtack.forward.peer
 
 import io.grpc.CallOptions
 import io.grpc.ClientCall
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -0,0 +1,147 @@
+package org.bulrushtack.forward.peer
+
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.knowledge.StoreTopic
+import org.bulrushtack.forward.knowledge.KnowledgeBase
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.forward.placement.PlacementBroker
+import org.bulrushtack.protocol.CoordinationMethods
+import org.bulrushtack.protocol.SyncReply
+import org.bulrushtack.protocol.SyncRequest
+import org.bulrushtack.protocol.TopicPosition
+import java.util.concurrent.Executor
+
+/**
+ * Tells the daemon that places work, and the one after it, what this daemon runs, and takes over what they know.
+ * Answers the same questions of others.
+ */
+internal class PeerSync(
+    private val daemons: DaemonTable,
+    private val knowledge: KnowledgeBase,
+    private val broker: PlacementBroker,
+    private val connections: PeerConnections,
+    private val clock: MonotonicClock,
+    private val thread: Executor,
+    private val log: EventLog,
+) {
+    private val probes = HashMap<String, Int>()
+    private val inFlight = HashSet<String>()
+
+    /** Speaks with the daemons that it is due to speak with. */
+    fun tick() {
+        val nowMillis = clock.nowMillis()
+        daemons.expire(nowMillis).forEach { silent ->
+            broker.takerGone(silent.name)
+            log.info("A daemon is silent.", LogField("daemon", silent.name), LogField("address", silent.peerAddress))
+        }
+        val placers = daemons.placers(nowMillis).take(PLACERS).map { it.peerAddress }
+        val unheard = daemons.unheardAddresses().take(PROBES_AT_ONCE)
+        (placers + unheard - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { ask(it, nowMillis) }
+    }
+
+    /** The answer to another daemon's account of itself. */
+    fun answer(request: SyncRequest): SyncReply {
+        val nowMillis = clock.nowMillis()
+        hear(nowMillis = nowMillis, record = request.sender, direct = true)
+        request.daemonsList.forEach { hear(nowMillis = nowMillis, record = it, direct = false) }
+        val residents = request.residentsList.map { PlacementMessages.fromWire(it, request.sender.name, nowMillis) }
+        broker.reconcile(taker = request.sender.name, account = residents)
+        val reply = SyncReply.newBuilder().setSender(CoordinationMessages.toWire(daemons.self, ageMillis = 0))
+        daemons.liveSightings(nowMillis).filter { it.daemon.name != request.sender.name }.forEach { sighting ->
+            reply.addDaemons(CoordinationMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
+        }
+        request.positionsList.forEach { position -> addBatch(reply, position) }
+        return reply.build()
+    }
+
+    private fun addBatch(reply: SyncReply.Builder, position: TopicPosition) {
+        val topic = StoreTopic.entries.firstOrNull { it.name == position.topic } ?: return
+        val ageMillis = knowledge.ageMillis(topic)
+        if (ageMillis == Long.MAX_VALUE) return
+        val news = knowledge.since(topic, position.endOffset)
+        val batch = news ?: EMPTY_BATCH.copy(endOffset = minOf(position.endOffset, knowledge.endOffset(topic)))
+        if (batch.endOffset >= position.endOffset) {
+            reply.addBatches(CoordinationMessages.toWire(topic, batch, ageMillis))
+        }
+    }
+
+    private fun ask(address: String, nowMillis: Long) {
+        inFlight.add(address)
+        connections.unary(address, CoordinationMethods.SYNC, request(nowMillis), TIMEOUT_MILLIS).whenCompleteAsync(
+            { reply, failure ->
+                inFlight.remove(address)
+                if (failure == null) take(reply, nowMillis) else failed(address, failure)
+            },
+            thread,
+        )
+    }
+
+    private fun request(nowMillis: Long): SyncRequest {
+        val request = SyncRequest.newBuilder().setSender(CoordinationMessages.toWire(daemons.self, ageMillis = 0))
+        StoreTopic.entries.forEach { topic ->
+            request.addPositions(
+                TopicPosition.newBuilder().setTopic(topic.name).setEndOffset(knowledge.endOffset(topic)),
+            )
+        }
+        broker.account().forEach { request.addResidents(PlacementMessages.toWire(it, nowMillis)) }
+        return request.build()
+    }
+
+    private fun take(reply: SyncReply, askedAtMillis: Long) {
+        val nowMillis = clock.nowMillis()
+        hear(nowMillis = nowMillis, record = reply.sender, direct = true)
+        probes.remove(reply.sender.peerAddress)
+        reply.daemonsList.forEach { hear(nowMillis = askedAtMillis, record = it, direct = false) }
+        reply.batchesList.forEach { batch ->
+            val topic = StoreTopic.entries.firstOrNull { it.name == batch.topic }
+            if (topic != null) {
+                knowledge.merge(
+                    topic = topic,
+                    batch = CoordinationMessages.fromWire(batch),
+                    ageMillis = batch.ageMillis + nowMillis - askedAtMillis,
+                    source = reply.sender.name,
+                )
+            }
+        }
+    }
+
+    private fun hear(nowMillis: Long, record: org.bulrushtack.protocol.DaemonRecord, direct: Boolean) {
+        val daemon = CoordinationMessages.fromWire(record)
+        val isNew = daemon.name != daemons.self.name && daemons.live(nowMillis).none { it.name == daemon.name }
+        daemons.heard(daemon = daemon, atMillis = nowMillis - record.ageMillis, direct = direct)
+        if (isNew) {
+            log.info(
+                "A daemon is live.",
+                LogField("daemon", daemon.name),
+                LogField("address", daemon.peerAddress),
+                LogField("rank", daemon.rank),
+                LogField("direct", direct),
+            )
+        }
+    }
+
+    private fun failed(address: String, failure: Throwable) {
+        val tries = probes.merge(address, 1, Int::plus) ?: 1
+        if (tries == 1) {
+            log.info(
+                "A daemon did not answer.",
+                LogField("address", address),
+                LogField("reason", failure.message),
+            )
+        }
+        if (tries >= MAXIMUM_PROBES) daemons.forgetUnheard(address)
+        daemons.failed(peerAddress = address, nowMillis = clock.nowMillis())
+    }
+}
+
+/** The daemon that places work and the one that follows it. */
+private const val PLACERS = 2
+private const val PROBES_AT_ONCE = 3
+private const val MAXIMUM_PROBES = 12
+
+/** Some ten times a round trip between data centres; a daemon that is slower should not place work. */
+private const val TIMEOUT_MILLIS = 350L
+private val EMPTY_BATCH =
+    org.bulrushtack.core.knowledge.RecordBatch(records = emptyList(), complete = false, endOffset = 0)
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PlacementMessages.kt
@@ -0,0 +1,84 @@
+package org.bulrushtack.forward.peer
+
+import org.bulrushtack.core.placement.PlacementOutcome
+import org.bulrushtack.core.placement.PlacementReport
+import org.bulrushtack.core.placement.PlacementRequest
+import org.bulrushtack.core.placement.PromptShape
+import org.bulrushtack.core.placement.Resident
+import org.bulrushtack.protocol.PlaceRequest
+import org.bulrushtack.protocol.ReleaseRequest
+import org.bulrushtack.protocol.ResidentRecord
+
+/** Turns the messages about placements into the daemon's own types and back; times travel as durations. */
+internal object PlacementMessages {
+    fun toWire(request: PlacementRequest, nowMillis: Long): PlaceRequest = PlaceRequest.newBuilder()
+        .setId(request.id)
+        .setTaker(request.taker)
+        .setService(request.service)
+        .setDataCentre(request.dataCentre)
+        .setPromptTokens(request.shape.promptTokens)
+        .setAnswerTokens(request.shape.answerTokens)
+        .setMaximumAnswerTokens(request.shape.maximumAnswerTokens)
+        .setPauseMillis(request.pauseMillis)
+        .setPriority(request.priority)
+        .setWaitedMillis(nowMillis - request.receivedAtMillis)
+        .setObjectiveInMillis(request.objectiveAtMillis - nowMillis)
+        .setGiveUpInMillis(request.giveUpAtMillis - nowMillis)
+        .addAllExcluded(request.excluded)
+        .build()
+
+    fun fromWire(request: PlaceRequest, nowMillis: Long): PlacementRequest = PlacementRequest(
+        id = request.id,
+        taker = request.taker,
+        service = request.service,
+        dataCentre = request.dataCentre,
+        shape = PromptShape(
+            promptTokens = request.promptTokens,
+            answerTokens = request.answerTokens,
+            maximumAnswerTokens = request.maximumAnswerTokens,
+        ),
+        pauseMillis = request.pauseMillis,
+        priority = request.priority,
+        receivedAtMillis = nowMillis - request.waitedMillis,
+        objectiveAtMillis = nowMillis + request.objectiveInMillis,
+        giveUpAtMillis = nowMillis + request.giveUpInMillis,
+        excluded = request.excludedList.toSet(),
+    )
+
+    fun toWire(report: PlacementReport): ReleaseRequest = ReleaseRequest.newBuilder()
+        .setPlacementId(report.placementId)
+        .setServerId(report.serverId)
+        .setOutcome(report.outcome.name)
+        .setSlowness(report.slowness ?: 0.0)
+        .build()
+
+    fun fromWire(request: ReleaseRequest): PlacementReport = PlacementReport(
+        placementId = request.placementId,
+        serverId = request.serverId,
+        outcome = PlacementOutcome.entries.firstOrNull { it.name == request.outcome } ?: PlacementOutcome.ABANDONED,
+        slowness = request.slowness.takeIf { it > 0 },
+    )
+
+    fun toWire(resident: Resident, nowMillis: Long): ResidentRecord = ResidentRecord.newBuilder()
+        .setPlacementId(resident.placementId)
+        .setServerId(resident.serverId)
+        .setWrites(resident.writes)
+        .setMemoryTokens(resident.memoryTokens)
+        .setContextTokens(resident.contextTokens)
+        .setReadMillis(resident.readMillis)
+        .setPauseMillis(resident.pauseMillis)
+        .setAgeMillis(nowMillis - resident.placedAtMillis)
+        .build()
+
+    fun fromWire(record: ResidentRecord, taker: String, nowMillis: Long): Resident = Resident(
+        placementId = record.placementId,
+        taker = taker,
+        serverId = record.serverId,
+        writes = record.writes,
+        memoryTokens = record.memoryTokens,
+        contextTokens = record.contextTokens,
+        readMillis = record.readMillis,
+        pauseMillis = record.pauseMillis,
+        placedAtMillis = nowMillis - record.ageMillis,
+    )
+}
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
@@ -0,0 +1,152 @@
+package org.bulrushtack.forward.placement
+
+import io.netty.channel.EventLoop
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.daemon.DaemonInfo
+import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.placement.EngineModel
+import org.bulrushtack.core.placement.PlacementDecision
+import org.bulrushtack.core.placement.PlacementReport
+import org.bulrushtack.core.placement.PlacementRequest
+import org.bulrushtack.core.placement.PlacementResidents
+import org.bulrushtack.core.placement.ServerHealth
+import org.bulrushtack.core.route.EngineProfile
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.forward.peer.PeerConnections
+import org.bulrushtack.forward.peer.PlacementMessages
+import org.bulrushtack.protocol.CoordinationMethods
+import java.util.concurrent.TimeUnit
+
+/**
+ * Finds places on engines: asks the daemon that places work, the next one when that is silent, and decides alone when
+ * both are.
+ */
+internal class PlaceFinder(
+    private val broker: PlacementBroker,
+    private val daemons: DaemonTable,
+    private val connections: PeerConnections,
+    private val health: ServerHealth,
+    private val clock: MonotonicClock,
+    private val loop: EventLoop,
+    private val log: EventLog,
+) {
+    /** A search for a place for [request] on engines of [profile]. */
+    fun find(request: PlacementRequest, profile: EngineProfile, listener: PlaceSearch.Listener): PlaceSearch =
+        Search(request = request, model = EngineModel(profile), listener = listener)
+
+    private inner class Search(
+        private val request: PlacementRequest,
+        private val model: EngineModel,
+        private val listener: PlaceSearch.Listener,
+    ) : PlaceSearch {
+        private var remote: RemotePlacement? = null
+        private var decider: DaemonInfo? = null
+        private var asked = 0
+        private var ended = false
+
+        override fun begin() {
+            val placer = daemons.placers(clock.nowMillis()).firstOrNull()
+            val alone = placer == null || placer.name == daemons.self.name || asked >= MAXIMUM_ASKED
+            if (alone) decideHere() else ask(checkNotNull(placer))
+        }
+
+        override fun cancel() {
+            ended = true
+            remote?.cancel("the caller left")
+            if (decider == null) broker.withdrawHere(request.id)
+            broker.drop(request.id)
+        }
+
+        override fun release(report: PlacementReport) {
+            broker.drop(request.id)
+            val remotely = decider
+            if (remotely == null) {
+                broker.releaseHere(report)
+            } else {
+                note(report)
+                connections.unary(
+                    address = remotely.peerAddress,
+                    method = CoordinationMethods.RELEASE,
+                    request = PlacementMessages.toWire(report),
+                    timeoutMillis = RELEASE_MILLIS,
+                ).exceptionally { failure ->
+                    log.info(
+                        "A release was not confirmed; the next account makes up for it.",
+                        LogField("request", request.id),
+                        LogField("daemon", remotely.name),
+                        LogField("reason", failure.message),
+                    )
+                    null
+                }
+            }
+        }
+
+        private fun decideHere() {
+            decider = null
+            broker.reconcile(taker = daemons.self.name, account = broker.account())
+            broker.placeHere(request) { decide(it) }
+        }
+
+        private fun ask(placer: DaemonInfo) {
+            asked += 1
+            decider = placer
+            val call = connections.newCall(placer.peerAddress, CoordinationMethods.PLACE, remainingMillis())
+            val placement = RemotePlacement(request, call, onDecision = ::decide, onLost = { lost(placer, it) })
+            remote = placement
+            placement.start(clock.nowMillis())
+            loop.schedule(
+                {
+                    if (!placement.answered && remote === placement && !ended) {
+                        placement.cancel("no answer")
+                        lost(placer, "no answer within $ANSWER_MILLIS ms")
+                    }
+                },
+                ANSWER_MILLIS,
+                TimeUnit.MILLISECONDS,
+            )
+        }
+
+        private fun lost(placer: DaemonInfo, reason: String) {
+            if (ended) return
+            remote = null
+            daemons.failed(placer.peerAddress, clock.nowMillis())
+            log.warn(
+                "The placing daemon gave no answer; asking the next.",
+                LogField("request", request.id),
+                LogField("daemon", placer.name),
+                LogField("reason", reason),
+            )
+            begin()
+        }
+
+        private fun decide(decision: PlacementDecision) {
+            if (ended || decision is PlacementDecision.Waiting) return
+            ended = true
+            if (decision is PlacementDecision.Placed) {
+                val readMillis = model.readMillis(request.shape.promptTokens)
+                val residents = PlacementResidents.of(request, decision.placement, readMillis, clock.nowMillis())
+                broker.hold(request.id, residents)
+            }
+            listener.onFound(decision)
+        }
+
+        private fun remainingMillis(): Long =
+            maxOf(SHORTEST_CALL_MILLIS, request.giveUpAtMillis - clock.nowMillis() + ANSWER_MILLIS)
+
+        /** What this daemon learns of servers counts again when it decides alone. */
+        private fun note(report: PlacementReport) {
+            if (report.outcome == org.bulrushtack.core.placement.PlacementOutcome.FAILED) {
+                health.failed(report.serverId, clock.nowMillis())
+            }
+        }
+    }
+}
+
+/** The placing daemon and the one after it. */
+private const val MAXIMUM_ASKED = 2
+
+/** Some fifty times a round trip between data centres, and half of what a short prompt has to spare. */
+private const val ANSWER_MILLIS = 120L
+private const val RELEASE_MILLIS = 1_000L
+private const val SHORTEST_CALL_MILLIS = 200L
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import java.util.concurrent.atomic.AtomicBoolean
@@ -22,6 +23,7 @@
     @Volatile
     private var channel: Channel? = null
     private var keepAlive = true
+    private var informational = false
 
     /** Sends the request; runs on the connection's thread. */
     fun start(connected: Channel) {
@@ -53,11 +55,8 @@
             context.close()
             return
         }
-        if (message is HttpResponse) readHead(message)
-        if (message is HttpContent && message.content().isReadable) {
-            listener.onData(ByteBufUtil.getBytes(message.content()))
-        }
-        if (message is LastHttpContent) complete(context)
+        if (message is HttpResponse) informational = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        if (!informational) read(context = context, message = message)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -71,6 +70,14 @@
         context.close()
     }
 
+    private fun read(context: ChannelHandlerContext, message: HttpObject) {
+        if (message is HttpResponse) readHead(message)
+        if (message is HttpContent && message.content().isReadable) {
+            listener.onData(ByteBufUtil.getBytes(message.content()))
+        }
+        if (message is LastHttpContent) complete(context)
+    }
+
     private fun readHead(response: HttpResponse) {
         keepAlive = HttpUtil.isKeepAlive(response)
         val headers = response.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientMessage.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientMessage.kt
@@ -18,10 +18,14 @@
             request.path,
             Unpooled.wrappedBuffer(request.body),
         )
-        message.headers().set(HttpHeaderNames.HOST, request.address)
-        if (request.body.isNotEmpty()) message.headers().set(HttpHeaderNames.CONTENT_TYPE, request.contentType)
-        HttpUtil.setContentLength(message, request.body.size.toLong())
-        request.headers.entries.forEach { message.headers().add(it.name, it.value) }
+        val headers = message.headers()
+        request.headers.entries.forEach { headers.add(it.name, it.value) }
+        if (!headers.contains(HttpHeaderNames.HOST)) headers.set(HttpHeaderNames.HOST, request.address)
+        val hasBody = request.body.isNotEmpty()
+        if (hasBody) request.contentType?.let { headers.set(HttpHeaderNames.CONTENT_TYPE, it) }
+        if (hasBody || message.method() !in BODILESS) HttpUtil.setContentLength(message, request.body.size.toLong())
         return message
     }
 }
+
+private val BODILESS = setOf(HttpMethod.GET, HttpMethod.HEAD)
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpExchange.kt
@@ -7,8 +7,8 @@
     /** Answers with a whole response. */
     public fun respond(response: HttpMessageResponse)
 
-    /** Starts an answer of unknown length. */
-    public fun stream(status: Int, contentType: String, headers: HttpHeaderList = HttpHeaderList()): ResponseStream
+    /** Starts an answer of unknown length; [contentType] is null when [headers] say it. */
+    public fun stream(status: Int, contentType: String?, headers: HttpHeaderList = HttpHeaderList()): ResponseStream
 
     /** Breaks the connection off without an answer. */
     public fun abort()
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpMessageRequest.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpMessageRequest.kt
@@ -5,6 +5,7 @@
  *
  * @property path the path without its query
  * @property query the query's parameters; the first value of each
+ * @property target path and query as they were sent
  */
 public class HttpMessageRequest(
     public val method: String,
@@ -12,4 +13,5 @@
     public val query: Map<String, String> = emptyMap(),
     public val headers: HttpHeaderList = HttpHeaderList(),
     public val body: ByteArray = ByteArray(0),
+    public val target: String = path,
 )
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpMessageResponse.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpMessageResponse.kt
@@ -1,9 +1,13 @@
 package org.bulrushtack.http
 
-/** A whole response. */
+/**
+ * A whole response.
+ *
+ * @property contentType the type of the body, or null when [headers] say it or there is none
+ */
 public class HttpMessageResponse(
     public val status: Int,
-    public val contentType: String = "application/json",
+    public val contentType: String? = "application/json",
     public val body: ByteArray = ByteArray(0),
     public val headers: HttpHeaderList = HttpHeaderList(),
 ) {
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -25,12 +25,12 @@
     }
 
     public companion object {
-        /** Listens on [host] and [port] (0 for any free one). */
+        /** Listens on [host] and [port] (0 for any free one); [limits] are asked for at each new connection. */
         public fun start(
             group: EventLoopGroup,
             host: String,
             port: Int,
-            limits: HttpLimits,
+            limits: () -> HttpLimits,
             handler: HttpHandler,
         ): HttpServer {
             val bootstrap = ServerBootstrap()
@@ -45,10 +45,11 @@
     }
 
     private class ConnectionInitializer(
-        private val limits: HttpLimits,
+        private val limits: () -> HttpLimits,
         private val handler: HttpHandler,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
+            val limits = limits()
             val decoder = HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.headerBytes)
                 .setMaxHeaderSize(limits.headerBytes)
--- a/http/src/main/kotlin/org/bulrushtack/http/RequestCollector.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestCollector.kt
@@ -72,6 +72,7 @@
             query = target.parameters().mapValues { (_, values) -> values.first() },
             headers = HttpHeaderList(entries = headers),
             body = bytes,
+            target = request.uri(),
         )
         return Progress.Whole(request = message, keepAlive = HttpUtil.isKeepAlive(request))
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -65,7 +65,7 @@
         val next = ServerExchange(
             request = whole.request,
             channel = context.channel(),
-            keepAlive = whole.keepAlive,
+            staysOpen = { whole.keepAlive && !handler.isClosing },
             onEnd = { ended(context) },
         )
         exchange = next
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -16,16 +16,20 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
 
-/** An exchange of a Netty connection; [onEnd] runs on the connection's thread after a whole answer. */
+/**
+ * An exchange of a Netty connection; [onEnd] runs on the connection's thread after a whole answer. [staysOpen] is asked
+ * when the answer begins.
+ */
 internal class ServerExchange(
     override val request: HttpMessageRequest,
     private val channel: Channel,
-    private val keepAlive: Boolean,
+    private val staysOpen: () -> Boolean,
     private val onEnd: () -> Unit,
 ) : HttpExchange, ResponseStream {
     private val closedListeners = CopyOnWriteArrayList<() -> Unit>()
     private val writableListeners = CopyOnWriteArrayList<() -> Unit>()
     private val answered = AtomicBoolean(false)
+    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) { staysOpen() }
 
     override val isWritable: Boolean get() = channel.isWritable
     override val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
@@ -35,7 +39,7 @@
         finish(message(response = response, keepAlive = keepAlive))
     }
 
-    override fun stream(status: Int, contentType: String, headers: HttpHeaderList): ResponseStream {
+    override fun stream(status: Int, contentType: String?, headers: HttpHeaderList): ResponseStream {
         answered.set(true)
         val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         fillHeaders(response = message, contentType = contentType, headers = headers)
@@ -87,8 +91,8 @@
             return message
         }
 
-        private fun fillHeaders(response: HttpResponse, contentType: String, headers: HttpHeaderList) {
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType)
+        private fun fillHeaders(response: HttpResponse, contentType: String?, headers: HttpHeaderList) {
+            contentType?.let { response.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
             headers.entries.forEach { response.headers().add(it.name, it.value) }
         }
     }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SocketPlace.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/SocketPlace.kt
@@ -1,9 +1,9 @@
-package org.bulrushtack.daemon.settings
+package org.bulrushtack.http
 
 /** A host by its IP number, and a port; port 0 stands for any free one. */
-data class SocketPlace(
-    val host: String,
-    val port: Int,
+public data class SocketPlace(
+    public val host: String,
+    public val port: Int,
 ) {
     override fun toString(): String = "$host:$port"
 }
--- a/standin/src/main/kotlin/org/bulrushtack/standin/StandIn.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/StandIn.kt
@@ -32,8 +32,8 @@
             val limits = HttpLimits(bodyBytes = MAXIMUM_BODY_BYTES)
             return StandIn(
                 group = group,
-                service = HttpServer.start(group, options.host, options.port, limits, service),
-                control = HttpServer.start(group, options.host, options.controlPort, limits, control),
+                service = HttpServer.start(group, options.host, options.port, { limits }, service),
+                control = HttpServer.start(group, options.host, options.controlPort, { limits }, control),
             )
         }
     }
