Keep daemons in touch before they are ready

Cause: daemons synced only with ready ones, and nobody is ready at the start, so each fell silent to the others and placed alone. Ruled out: the store (records were read).

--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -9,7 +9,7 @@
 ) {
     private val sightings = HashMap<String, DaemonSighting>()
     private val suspectedAtMillis = HashMap<String, Long>()
-    private val unheard = HashMap<String, String>()
+    private val addresses = HashMap<String, String>()
 
     /** This daemon as it describes itself to others. */
     public var self: DaemonInfo = self
@@ -17,7 +17,7 @@
     /** Notes that [daemon] spoke at [atMillis]; [direct] when it was to this daemon. */
     public fun heard(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
         if (daemon.name == self.name) return
-        unheard.values.removeIf { it == daemon.peerAddress }
+        addresses[daemon.name] = daemon.peerAddress
         if (direct) suspectedAtMillis.remove(daemon.peerAddress)
         val known = sightings[daemon.name]
         if (known == null || known.heardAtMillis < atMillis) sightings[daemon.name] = DaemonSighting(daemon, atMillis)
@@ -25,8 +25,7 @@
 
     /** Notes a daemon that is only known by its address; [label] tells it apart from others. */
     public fun learn(label: String, peerAddress: String) {
-        val known = peerAddress == self.peerAddress || sightings.values.any { it.daemon.peerAddress == peerAddress }
-        if (!known) unheard[label] = peerAddress
+        if (peerAddress != self.peerAddress) addresses[label] = peerAddress
     }
 
     /** Notes that the daemon at [peerAddress] did not answer. */
@@ -34,11 +33,14 @@
         suspectedAtMillis[peerAddress] = nowMillis
     }
 
-    /** The daemons that may place work, the one to ask first at the head. */
-    public fun placers(nowMillis: Long): List<DaemonInfo> = (live(nowMillis) + self)
-        .filter { it.rank != null && it.ready && !it.leaving && !isSuspected(it.peerAddress, nowMillis) }
+    /** The daemons in the order in which they answer for all, whether ready or not. */
+    public fun ranked(nowMillis: Long): List<DaemonInfo> = (live(nowMillis) + self)
+        .filter { it.rank != null && !it.leaving && !isSuspected(it.peerAddress, nowMillis) }
         .sortedBy { it.rank }
 
+    /** The daemons that may place work, the one to ask first at the head. */
+    public fun placers(nowMillis: Long): List<DaemonInfo> = ranked(nowMillis).filter { it.ready }
+
     /** The other daemons that were heard of lately. */
     public fun live(nowMillis: Long): List<DaemonInfo> = liveSightings(nowMillis).map { it.daemon }
 
@@ -46,13 +48,9 @@
     public fun liveSightings(nowMillis: Long): List<DaemonSighting> =
         sightings.values.filter { nowMillis - it.heardAtMillis < ALIVE_MILLIS }
 
-    /** Addresses of daemons that this one has never heard. */
-    public fun unheardAddresses(): Collection<String> = unheard.values.toSet()
-
-    /** Forgets an address that leads nowhere. */
-    public fun forgetUnheard(peerAddress: String) {
-        unheard.values.removeIf { it == peerAddress }
-    }
+    /** Addresses at which a daemon may run that this one has not heard of lately. */
+    public fun unheardAddresses(nowMillis: Long): Set<String> =
+        addresses.values.toSet() - live(nowMillis).map { it.peerAddress }.toSet() - self.peerAddress
 
     /** Forgets daemons that have been silent for long, and gives them. */
     public fun expire(nowMillis: Long): List<DaemonInfo> {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -2,12 +2,14 @@
 
 import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.knowledge.RecordBatch
 import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.forward.knowledge.KnowledgeBase
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.placement.PlacementBroker
 import org.bulrushtack.protocol.CoordinationMethods
+import org.bulrushtack.protocol.DaemonRecord
 import org.bulrushtack.protocol.SyncReply
 import org.bulrushtack.protocol.SyncRequest
 import org.bulrushtack.protocol.TopicPosition
@@ -26,7 +28,7 @@
     private val thread: Executor,
     private val log: EventLog,
 ) {
-    private val probes = HashMap<String, Int>()
+    private val probes = ProbeSchedule()
     private val inFlight = HashSet<String>()
 
     /** Speaks with the daemons that it is due to speak with. */
@@ -36,9 +38,9 @@
             broker.takerGone(silent.name)
             log.info("A daemon is silent.", LogField("daemon", silent.name), LogField("address", silent.peerAddress))
         }
-        val placers = daemons.placers(nowMillis).take(PLACERS).map { it.peerAddress }
-        val unheard = daemons.unheardAddresses().take(PROBES_AT_ONCE)
-        (placers + unheard - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { ask(it, nowMillis) }
+        val first = daemons.ranked(nowMillis).take(ANSWERING).map { it.peerAddress }
+        val unheard = daemons.unheardAddresses(nowMillis).filter { probes.isDue(it, nowMillis) }.take(PROBES_AT_ONCE)
+        (first + unheard - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { ask(it, nowMillis) }
     }
 
     /** The answer to another daemon's account of itself. */
@@ -85,6 +87,11 @@
                 TopicPosition.newBuilder().setTopic(topic.name).setEndOffset(knowledge.endOffset(topic)),
             )
         }
+        if (daemons.ranked(nowMillis).getOrNull(1)?.name == daemons.self.name) {
+            daemons.liveSightings(nowMillis).forEach { sighting ->
+                request.addDaemons(CoordinationMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
+            }
+        }
         broker.account().forEach { request.addResidents(PlacementMessages.toWire(it, nowMillis)) }
         return request.build()
     }
@@ -92,7 +99,7 @@
     private fun take(reply: SyncReply, askedAtMillis: Long) {
         val nowMillis = clock.nowMillis()
         hear(nowMillis = nowMillis, record = reply.sender, direct = true)
-        probes.remove(reply.sender.peerAddress)
+        probes.answered(reply.sender.peerAddress)
         reply.daemonsList.forEach { hear(nowMillis = askedAtMillis, record = it, direct = false) }
         reply.batchesList.forEach { batch ->
             val topic = StoreTopic.entries.firstOrNull { it.name == batch.topic }
@@ -107,7 +114,7 @@
         }
     }
 
-    private fun hear(nowMillis: Long, record: org.bulrushtack.protocol.DaemonRecord, direct: Boolean) {
+    private fun hear(nowMillis: Long, record: DaemonRecord, direct: Boolean) {
         val daemon = CoordinationMessages.fromWire(record)
         val isNew = daemon.name != daemons.self.name && daemons.live(nowMillis).none { it.name == daemon.name }
         daemons.heard(daemon = daemon, atMillis = nowMillis - record.ageMillis, direct = direct)
@@ -123,25 +130,22 @@
     }
 
     private fun failed(address: String, failure: Throwable) {
-        val tries = probes.merge(address, 1, Int::plus) ?: 1
-        if (tries == 1) {
+        val nowMillis = clock.nowMillis()
+        if (probes.failed(address, nowMillis)) {
             log.info(
                 "A daemon did not answer.",
                 LogField("address", address),
                 LogField("reason", failure.message),
             )
         }
-        if (tries >= MAXIMUM_PROBES) daemons.forgetUnheard(address)
-        daemons.failed(peerAddress = address, nowMillis = clock.nowMillis())
+        daemons.failed(peerAddress = address, nowMillis = nowMillis)
     }
 }
 
-/** The daemon that places work and the one that follows it. */
-private const val PLACERS = 2
+/** The daemon that answers for all and the one that follows it. */
+private const val ANSWERING = 2
 private const val PROBES_AT_ONCE = 3
-private const val MAXIMUM_PROBES = 12
 
 /** Some ten times a round trip between data centres; a daemon that is slower should not place work. */
 private const val TIMEOUT_MILLIS = 350L
-private val EMPTY_BATCH =
-    org.bulrushtack.core.knowledge.RecordBatch(records = emptyList(), complete = false, endOffset = 0)
+private val EMPTY_BATCH = RecordBatch(records = emptyList(), complete = false, endOffset = 0)
