Let a reservation run out before its memory counts as leaked

Ruled out: the way of the release, which ran on every way out of a living daemon. Before: hold 5 s, renewal 1.5 s.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
@@ -102,9 +102,12 @@
     private fun ticketId(part: PlacedPart): String = "$prefix-${part.serverId}"
 }
 
-/** Less than the time after which engines count unused memory as stuck, and two renewals may be lost. */
-private const val HOLD_MILLIS = 5_000L
-private const val RENEWAL_MILLIS = 1_500L
+/**
+ * Memory has to be free four seconds after the request that used it has ended, also when the daemon that reserved it
+ * died just after a renewal. Two renewals in a row may be lost.
+ */
+private const val HOLD_MILLIS = 3_400L
+private const val RENEWAL_MILLIS = 1_000L
 private const val ORDER_MILLIS = 500L
 private const val RELEASE_TRIES = 3
 private const val RESERVED = "200"
