--- a/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
@@ -108,6 +108,12 @@
         val reachedServer: Boolean,
     ) : Event
 
+    /** Tokens of an attempt arrived, which proves that its owner lives. */
+    public data class AttemptProgressed(
+        val requestId: String,
+        val attempt: Int,
+    ) : Event
+
     /** A completion ended, well or because its caller went away. */
     public data class RequestEnded(
         val requestId: String,
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/Scheduler.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/Scheduler.kt
@@ -44,14 +44,7 @@
     /** Frees the place of a request that has ended. */
     public fun release(report: PlacementReport, nowMillis: Long) {
         changed = ledger.remove(report.placementId) || changed
-        val id = report.serverId
-        when (report.outcome) {
-            PlacementOutcome.SUCCEEDED -> health.succeeded(id, report.slowness ?: 1.0)
-            PlacementOutcome.FAILED -> health.failed(id, nowMillis)
-            PlacementOutcome.ANSWERED_WITH_FAILURE -> health.answeredWithFailure(id)
-            PlacementOutcome.REJECTED -> health.rejected(id, nowMillis)
-            PlacementOutcome.ABANDONED -> Unit
-        }
+        health.note(report.serverId, report.outcome, report.slowness, nowMillis)
     }
 
     /** Makes the ledger agree with a taker's account. */
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/ServerHealth.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/ServerHealth.kt
@@ -5,7 +5,7 @@
     private val records = HashMap<String, Record>()
 
     /** Notes a good answer of [id] that took [slowness] times as long as predicted. */
-    public fun succeeded(id: String, slowness: Double) {
+    private fun succeeded(id: String, slowness: Double) {
         val record = record(id)
         record.failureRate *= 1 - RECOVERY_WEIGHT
         record.failuresInRow = 0
@@ -16,22 +16,21 @@
     /** Notes at [nowMillis] that [id] broke a request off, stayed silent or could not be reached. */
     public fun failed(id: String, nowMillis: Long) {
         val record = record(id)
-        record.failureRate += FAILURE_WEIGHT * (1 - record.failureRate)
+        record.fail(FAILURE_WEIGHT)
         record.failuresInRow += 1
         val pauseMillis = FIRST_PAUSE_MILLIS shl minOf(record.failuresInRow - 1, MAXIMUM_DOUBLINGS)
-        record.avoidUntilMillis = maxOf(record.avoidUntilMillis, nowMillis + pauseMillis)
+        record.avoidUntil(nowMillis + pauseMillis)
     }
 
-    /** Notes an answer of [id] with a failure of its own, which may be the fault of the request. */
-    public fun answeredWithFailure(id: String) {
-        val record = record(id)
-        record.failureRate += ANSWERED_FAILURE_WEIGHT * (1 - record.failureRate)
-    }
-
-    /** Notes at [nowMillis] that [id] turned a request away without running it. */
-    public fun rejected(id: String, nowMillis: Long) {
-        val record = record(id)
-        record.avoidUntilMillis = maxOf(record.avoidUntilMillis, nowMillis + REJECTED_PAUSE_MILLIS)
+    /** Notes at [nowMillis] how a request ended at [id]; its first event took [slowness] times the prediction. */
+    public fun note(id: String, outcome: PlacementOutcome, slowness: Double?, nowMillis: Long) {
+        when (outcome) {
+            PlacementOutcome.SUCCEEDED -> succeeded(id, slowness ?: 1.0)
+            PlacementOutcome.FAILED -> failed(id, nowMillis)
+            PlacementOutcome.ANSWERED_WITH_FAILURE -> record(id).fail(ANSWERED_FAILURE_WEIGHT)
+            PlacementOutcome.REJECTED -> record(id).avoidUntil(nowMillis + REJECTED_PAUSE_MILLIS)
+            PlacementOutcome.ABANDONED -> Unit
+        }
     }
 
     /** Notes that [id] gets a request at [nowMillis]; one that has just failed gets no other for a while. */
@@ -61,6 +60,14 @@
         var failuresInRow = 0
         var avoidUntilMillis = 0L
         var slowness = 1.0
+
+        fun fail(weight: Double) {
+            failureRate += weight * (1 - failureRate)
+        }
+
+        fun avoidUntil(millis: Long) {
+            avoidUntilMillis = maxOf(avoidUntilMillis, millis)
+        }
     }
 }
 
--- a/core/src/main/kotlin/org/bulrushtack/core/request/CompletionController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionController.kt
@@ -7,6 +7,7 @@
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.error.RunState
+import org.bulrushtack.core.membership.MEMBER_LEASE_MILLIS
 import org.bulrushtack.core.server.BackendServerDirectory
 import org.bulrushtack.core.server.ServerChoice
 import org.bulrushtack.core.server.ServerNeed
@@ -29,6 +30,8 @@
     override fun handle(event: Event, nowMillis: Long): List<Action> = when (event) {
         is Event.CompletionRequested -> admit(request = event.request, nowMillis = nowMillis)
         is Event.AttemptFailed -> attemptFailed(event = event, nowMillis = nowMillis)
+        is Event.AttemptProgressed ->
+            emptyList<Action>().also { region.heard(event.requestId, event.attempt, nowMillis) }
         is Event.RequestEnded -> emptyList<Action>().also { region.remove(event.requestId) }
         is Event.Tick -> late(nowMillis) + ownersLost(nowMillis) + dueRetries(nowMillis)
         else -> emptyList()
@@ -96,6 +99,7 @@
     /** An owner that is silent may be paused with its connections open, so nothing else would tell. */
     private fun ownersLost(nowMillis: Long): List<Action> = region.active.values
         .filter { active -> active.owner?.let { !directory.owners.isLive(it, nowMillis) } ?: false }
+        .filter { active -> active.heardAtMillis.let { it == null || nowMillis - it > MEMBER_LEASE_MILLIS } }
         .flatMap { active ->
             val problem = Problem(kind = ErrorKind.BACKEND_LOST, detail = "The owner of the backend server is silent.")
             val failed = region.attemptEnded(active = active, problem = problem, reachedServer = false)
--- a/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
@@ -21,7 +21,20 @@
 
     internal fun send(active: ActiveRequest, server: String, owner: String): ActiveRequest {
         underWay.merge(server, 1, Int::plus)
-        return put(active.copy(attempt = active.attempt + 1, server = server, owner = owner, retryAtMillis = null))
+        val sent = active.copy(
+            attempt = active.attempt + 1,
+            server = server,
+            owner = owner,
+            heardAtMillis = null,
+            retryAtMillis = null,
+        )
+        return put(sent)
+    }
+
+    internal fun heard(id: String, attempt: Int, nowMillis: Long) {
+        active.computeIfPresent(id) { _, request ->
+            if (request.attempt == attempt) request.copy(heardAtMillis = nowMillis) else request
+        }
     }
 
     internal fun attemptEnded(active: ActiveRequest, problem: Problem, reachedServer: Boolean): ActiveRequest {
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
@@ -0,0 +1,67 @@
+package org.bulrushtack.core.request
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.membership.MEMBER_LEASE_MILLIS
+import org.bulrushtack.core.membership.MemberIdentity
+import org.bulrushtack.core.server.BackendServerDirectory
+import kotlin.random.Random
+
+class CompletionControllerTest : AnnotationSpec() {
+    private val blackboard = Blackboard(identity = MemberIdentity(name = "vm-1", incarnation = "life", dataCentre = "a"))
+    private val testSubject = CompletionController(
+        blackboard = blackboard,
+        directory = BackendServerDirectory(blackboard),
+        choice = { _, _ -> null },
+        random = Random(1),
+    )
+    private val request = CompletionRequest(
+        id = "request-1",
+        workspace = "dock",
+        model = "atlas",
+        promptTokens = 10,
+        maximumTokens = 10,
+        receivedAtMillis = 0,
+        deadlineAtMillis = 60_000,
+    )
+
+    private fun sentToSilentOwner() {
+        val region = blackboard.requests
+        region.active.clear()
+        region.send(active = region.add(request), server = "engine", owner = "vm-2")
+    }
+
+    private fun isUnderWay() = blackboard.requests.active.getValue("request-1").owner == "vm-2"
+
+    @Test
+    fun `a stream whose tokens still arrive is not given up while its owner sends no heartbeats`() {
+        sentToSilentOwner()
+
+        testSubject.handle(Event.AttemptProgressed(requestId = "request-1", attempt = 1), nowMillis = 1_000)
+        testSubject.handle(Event.Tick, nowMillis = 1_000 + MEMBER_LEASE_MILLIS)
+
+        isUnderWay() shouldBe true
+    }
+
+    @Test
+    fun `a stream is given up a lease after its owner sent the last token or heartbeat`() {
+        sentToSilentOwner()
+
+        testSubject.handle(Event.AttemptProgressed(requestId = "request-1", attempt = 1), nowMillis = 1_000)
+        testSubject.handle(Event.Tick, nowMillis = 1_001 + MEMBER_LEASE_MILLIS)
+
+        isUnderWay() shouldBe false
+    }
+
+    @Test
+    fun `tokens of an attempt that was given up say nothing of the current owner`() {
+        sentToSilentOwner()
+
+        testSubject.handle(Event.AttemptProgressed(requestId = "request-1", attempt = 0), nowMillis = 1_000)
+        testSubject.handle(Event.Tick, nowMillis = 1_000)
+
+        isUnderWay() shouldBe false
+    }
+}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/ForwardingProcess.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/ForwardingProcess.kt
@@ -12,7 +12,7 @@
 /** A process that forwards requests: SIGTERM begins its shutdown, SIGHUP has its settings read again. */
 internal class ForwardingProcess(
     private val file: Path,
-    private val settings: ForwardSettings,
+    settings: ForwardSettings,
     incarnation: String,
     seed: Long,
 ) {
@@ -40,19 +40,15 @@
         ifLeft = { faults ->
             daemon.noteSettings(
                 "The settings file has faults; the settings stay as they are.",
-                LogField("reason", reason),
-                LogField("fault", faults.first()),
+                listOf(LogField("reason", reason), LogField("fault", faults.first())),
             )
         },
         ifRight = { read ->
             val changed = read is DaemonSettings.Forwarding && read.settings != current
             if (changed) current = (read as DaemonSettings.Forwarding).settings
             if (changed || reason != "look") {
-                daemon.noteSettings(
-                    "The settings were read again.",
-                    LogField("reason", reason),
-                    LogField("changed", changed),
-                )
+                val fields = listOf(LogField("reason", reason), LogField("changed", changed))
+                daemon.noteSettings("The settings were read again.", fields)
             }
         },
     )
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/GrpcCallSink.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/GrpcCallSink.kt
@@ -5,9 +5,9 @@
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.log.CallAnswer
 import org.bulrushtack.daemon.owner.CallSink
-import org.bulrushtack.protocol.CallAnswer as WireAnswer
 import org.bulrushtack.protocol.CallReply
 import org.bulrushtack.protocol.Failed
+import org.bulrushtack.protocol.CallAnswer as WireAnswer
 
 /** Sends the outcome of a call to the daemon that took it. */
 internal class GrpcCallSink(
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerMessages.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/peer/PeerMessages.kt
@@ -4,10 +4,10 @@
 import org.bulrushtack.core.log.LogEntry
 import org.bulrushtack.core.log.UnreadableRecord
 import org.bulrushtack.core.membership.HeartbeatMessage
-import org.bulrushtack.core.membership.MemberDigest as CoreDigest
-import org.bulrushtack.core.membership.ServerLoad as CoreLoad
 import org.bulrushtack.platform.RecordCodec
 import org.bulrushtack.protocol.Heartbeat
+import org.bulrushtack.core.membership.MemberDigest as CoreDigest
+import org.bulrushtack.core.membership.ServerLoad as CoreLoad
 import org.bulrushtack.protocol.LogEntry as WireEntry
 import org.bulrushtack.protocol.MemberDigest as WireDigest
 import org.bulrushtack.protocol.ServerLoad as WireLoad
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionEdge.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionEdge.kt
@@ -31,9 +31,9 @@
         onEnded = { sessions.remove(it.request.id) },
     )
 
-    /** Starts looking for silent engines. */
+    /** Starts looking for progress and for silent engines. */
     fun start(timer: ScheduledExecutorService) {
-        timer.scheduleWithFixedDelay({ checkStalls() }, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
+        timer.scheduleWithFixedDelay({ check() }, CHECK_MILLIS, CHECK_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     /** Takes a completion. */
@@ -71,8 +71,9 @@
         sessions.remove(action.requestId)?.fail(action.problem)
     }
 
-    private fun checkStalls() = sessions.values.forEach { session ->
+    private fun check() = sessions.values.forEach { session ->
         val prefillMillis = session.request.promptTokens / SLOWEST_PREFILL_TOKENS_PER_MILLI
+        session.takeProgress()?.let { control.post(Event.AttemptProgressed(session.request.id, attempt = it)) }
         session.checkStall(firstTokenLimitMillis = FIRST_TOKEN_LIMIT_MILLIS + prefillMillis)
     }
 }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
@@ -19,14 +19,21 @@
 ) {
     private val progress = AnswerProgress()
     private var breakOff: () -> Unit = {}
+    private var progressed = false
 
     /** Tokens of the answer that were handed to the writer. */
     val tokensReceived: Long get() = synchronized(this) { progress.tokensReceived }
 
+    /** The attempt under way, if any of its tokens arrived since the last call; else null. */
+    fun takeProgress(): Int? = synchronized(this) {
+        progress.attempt.takeIf { progressed }.also { progressed = false }
+    }
+
     /** Begins attempt [number] and gives the sink for its frames; an earlier attempt is broken off. */
     fun begin(number: Int): FrameSink {
         val earlier = synchronized(this) {
             progress.begin(number)
+            progressed = false
             takeBreakOff()
         }
         earlier()
@@ -66,6 +73,7 @@
             val isCurrent = progress.isCurrent(number)
             if (isCurrent && verdict == AnswerProgress.Verdict.NEXT) {
                 if (progress.tokensReceived == 0L) observer.firstToken(this)
+                progressed = true
                 progress.add(tokens = tokens, nowMillis = clock.nowMillis())
                 writer.chunk(offset = offset, tokens = tokens, text = text)
             }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
@@ -42,7 +42,8 @@
         timer("bulrushtack.forward.first.event", "route", route).record(Duration.ofMillis(millis))
 
     /** Notes how long a request waited for its place. */
-    fun placed(millis: Long) = timer("bulrushtack.forward.place.wait", "kind", "engine").record(Duration.ofMillis(millis))
+    fun placed(millis: Long) =
+        timer("bulrushtack.forward.place.wait", "kind", "engine").record(Duration.ofMillis(millis))
 
     /** Notes a call to the platform's store. */
     fun storeAnswered(topic: StoreTopic, millis: Long, failed: Boolean) {
@@ -51,6 +52,7 @@
         if (failed) registry.counter("bulrushtack.forward.store.failures", "topic", name).increment()
     }
 
+    @Suppress("SpreadOperator")
     private fun timer(name: String, tag: String, value: String): Timer =
         Timer.builder(name).tag(tag, value).serviceLevelObjectives(*BUCKETS).register(registry)
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ProblemWriter.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ProblemWriter.kt
@@ -41,11 +41,10 @@
     }
 
     private fun seconds(millis: Long): String {
-        val whole = millis % MILLIS_PER_SECOND == 0L
-        return if (whole) "${millis / MILLIS_PER_SECOND}" else "%.1f".format(Locale.ROOT, millis / MILLIS_PER_SECOND_FLOAT)
+        val seconds = millis / MILLIS_PER_SECOND
+        return if (seconds % 1 == 0.0) "${seconds.toLong()}" else "%.1f".format(Locale.ROOT, seconds)
     }
 }
 
 private const val DEFAULT_RETRY_MILLIS = 1_000L
-private const val MILLIS_PER_SECOND = 1_000L
-private const val MILLIS_PER_SECOND_FLOAT = 1_000.0
+private const val MILLIS_PER_SECOND = 1_000.0
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -27,9 +27,6 @@
     private var headers = HttpHeaderList()
     private val failureBody = ByteArrayOutputStream()
 
-    /** Whether any part of a success has arrived. */
-    val isAnswered: Boolean get() = head != null
-
     /** Sends [request]. */
     fun start(client: HttpClient, request: ClientRequest) {
         relay.onWritable { call?.setReading(true) }
@@ -43,10 +40,7 @@
     }
 
     /** Breaks it off because the server is silent. */
-    fun giveUp(reason: String) {
-        end(outcome = SendOutcome.UNKNOWN, reason = reason)
-        call?.cancel()
-    }
+    fun giveUp(reason: String) = breakOff(SendOutcome.UNKNOWN, reason)
 
     override fun onHead(status: Int, headers: HttpHeaderList) {
         if (ended) return
@@ -55,9 +49,10 @@
         this.status = status
         this.headers = headers
         when {
-            answer.notRun -> endNotRun(answer)
-            !answer.belongs -> breakOff("the answer belongs to another request")
-            isSuccess && !answer.signed -> breakOff("the answer bears no signature")
+            answer.misdirected -> breakOff(SendOutcome.NOT_RUN, MISDIRECTED)
+            answer.notRun -> breakOff(SendOutcome.NOT_RUN, "not run, status $status")
+            !answer.belongs -> breakOff(SendOutcome.UNKNOWN, "the answer belongs to another request")
+            isSuccess && !answer.signed -> breakOff(SendOutcome.UNKNOWN, "the answer bears no signature")
             isSuccess -> relay.open(status = status, headers = codec.answerHeaders(headers))
         }
     }
@@ -88,14 +83,8 @@
 
     private val isSuccess: Boolean get() = status in SUCCESS
 
-    private fun endNotRun(answer: AnswerHead) {
-        val reason = if (answer.misdirected) MISDIRECTED else "not run, status $status"
-        end(outcome = SendOutcome.NOT_RUN, reason = reason)
-        call?.cancel()
-    }
-
-    private fun breakOff(reason: String) {
-        end(outcome = SendOutcome.UNKNOWN, reason = reason)
+    private fun breakOff(outcome: SendOutcome, reason: String) {
+        end(outcome = outcome, reason = reason)
         call?.cancel()
     }
 
@@ -119,5 +108,6 @@
     }
 }
 
+@Suppress("MagicNumber")
 private val SUCCESS = 200..299
 private const val MAXIMUM_FAILURE_BYTES = 65_536
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/EnginePlace.kt
@@ -0,0 +1,65 @@
+package org.bulrushtack.forward.exchange
+
+import org.bulrushtack.core.placement.Placement
+import org.bulrushtack.core.placement.PlacementDecision
+import org.bulrushtack.core.placement.PlacementOutcome
+import org.bulrushtack.core.placement.PlacementReport
+import org.bulrushtack.core.placement.PlacementRequest
+import org.bulrushtack.core.route.EngineProfile
+import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.forward.placement.PlaceSearch
+
+/** A place on model engines, which the placing daemon gives. */
+internal class EnginePlace(
+    private val tools: ExchangeTools,
+    private val request: PlacementRequest,
+    private val listener: AttemptPlaceListener,
+    profile: EngineProfile,
+) : AttemptPlace {
+    private val search: PlaceSearch = tools.places.find(request, profile) { decided(it) }
+    private var placement: Placement? = null
+    private var over = false
+
+    override fun begin() = search.begin()
+
+    override fun cancel() {
+        over = true
+        placement?.let { release(PlacementOutcome.ABANDONED, it.first.serverId, firstEventMillis = null) }
+        search.cancel()
+    }
+
+    override fun release(outcome: PlacementOutcome, serverId: String, firstEventMillis: Long?) {
+        val used = placement ?: return
+        placement = null
+        val slowness = firstEventMillis?.let { it / maxOf(1.0, used.firstEventMillis) }
+        search.release(
+            PlacementReport(placementId = request.id, serverId = serverId, outcome = outcome, slowness = slowness),
+        )
+    }
+
+    private fun decided(decision: PlacementDecision) {
+        when {
+            over -> Unit
+            decision is PlacementDecision.Placed -> {
+                placement = decision.placement
+                tools.metrics.placed(decision.waitedMillis)
+                log(decision)
+                val first = decision.placement.first
+                listener.placed(SendTarget(first.serverId, first.address, decision.placement))
+            }
+            decision is PlacementDecision.Refused -> listener.refused(decision.kind, decision.retryAfterMillis)
+        }
+    }
+
+    private fun log(decision: PlacementDecision.Placed) = tools.log.info(
+        "A request has a place.",
+        LogField("request", request.id),
+        LogField("server", decision.placement.first.serverId),
+        LogField("helpers", decision.placement.helpers.size),
+        LogField("waited_millis", decision.waitedMillis),
+        LogField("predicted_millis", decision.placement.firstEventMillis.toLong()),
+        LogField("left_millis", request.objectiveAtMillis - tools.thread.nowMillis()),
+        LogField("prompt_tokens", request.shape.promptTokens),
+        LogField("version", tools.state.routing?.configuration?.version),
+    )
+}
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
@@ -1,10 +1,9 @@
 package org.bulrushtack.forward.exchange
 
-import io.netty.channel.EventLoop
-import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.placement.PlainServerChoice
 import org.bulrushtack.core.placement.ServerHealth
 import org.bulrushtack.forward.ForwardMetrics
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.knowledge.ForwardState
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.placement.PlaceFinder
@@ -21,8 +20,7 @@
     val plainChoice: PlainServerChoice,
     val health: ServerHealth,
     val budgets: RetryBudgets,
-    val clock: MonotonicClock,
-    val loop: EventLoop,
+    val thread: ForwardThread,
     val random: Random,
     val metrics: ForwardMetrics,
     val log: EventLog,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -2,6 +2,7 @@
 
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.exchange.Patience
 import org.bulrushtack.core.route.Route
 import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.Workspace
@@ -29,7 +30,7 @@
         val head = tools.codec.callerHead(exchange.request.headers)
         val routing = tools.state.routing
         val kind = when {
-            drain.refusesNew(tools.clock.nowMillis()) -> ErrorKind.DRAINING
+            drain.refusesNew(tools.thread.nowMillis()) -> ErrorKind.DRAINING
             routing == null -> ErrorKind.NOT_READY
             head.attemptId == null -> ErrorKind.MALFORMED_REQUEST
             else -> null
@@ -51,7 +52,8 @@
 
     private fun route(exchange: HttpExchange, head: CallerHead, routing: RoutingTable) {
         val request = exchange.request
-        val route = routing.route(host = request.headers.find("host").orEmpty(), path = request.target.substringBefore('?'))
+        val path = request.target.substringBefore('?')
+        val route = routing.route(host = request.headers.find("host").orEmpty(), path = path)
         val workspace = head.key?.let { routing.workspace(it) }
         when {
             route == null -> refuse(exchange, head, ErrorKind.UNKNOWN_PATH)
@@ -61,14 +63,20 @@
     }
 
     private fun forward(exchange: HttpExchange, head: CallerHead, route: Route, workspace: Workspace?) {
-        val forwarded = ForwardedExchange(
-            tools = tools,
-            exchange = exchange,
-            caller = head,
+        val nowMillis = tools.thread.nowMillis()
+        val finalMillis = minOf(route.timeoutMillis, head.deadlineMillis ?: Long.MAX_VALUE)
+        val order = ForwardOrder(
+            requestId = head.attemptId.orEmpty(),
+            service = route.service(tools.random.nextDouble()),
             route = route,
+            caller = head,
             workspace = workspace,
-            onEnd = { active.remove(it) },
+            patience = Patience.of(route = route, finalMillis = finalMillis),
+            receivedAtMillis = nowMillis,
+            finalAtMillis = nowMillis + finalMillis,
+            request = exchange.request,
         )
+        val forwarded = ForwardedExchange(tools, exchange, order, onEnd = { active.remove(it) })
         active.add(forwarded)
         forwarded.start()
     }
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/PlainPlace.kt
@@ -0,0 +1,56 @@
+package org.bulrushtack.forward.exchange
+
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.placement.PlacementOutcome
+import org.bulrushtack.core.route.ServiceProfile
+import java.util.concurrent.ScheduledFuture
+
+/** A place on a plain server, which this daemon chooses by its own sends. */
+internal class PlainPlace(
+    private val tools: ExchangeTools,
+    private val order: ForwardOrder,
+    private val service: ServiceProfile,
+    private val excluded: Set<String>,
+    private val listener: AttemptPlaceListener,
+) : AttemptPlace {
+    private var used: String? = null
+    private var retry: ScheduledFuture<*>? = null
+
+    override fun begin() {
+        val nowMillis = tools.thread.nowMillis()
+        val chosen = tools.plainChoice.choose(
+            servers = tools.state.fleet.usableOf(service.name, nowMillis),
+            service = service,
+            dataCentre = tools.state.daemons.self.dataCentre,
+            excluded = excluded,
+            nowMillis = nowMillis,
+        )
+        when {
+            chosen != null -> {
+                used = chosen.entry.id
+                tools.plainChoice.sent(chosen.entry.id, nowMillis)
+                listener.placed(SendTarget(chosen.entry.id, chosen.entry.address))
+            }
+            nowMillis - order.receivedAtMillis >= order.patience.placeMillis / WAIT_PART ->
+                listener.refused(ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_MILLIS)
+            else -> retry = tools.thread.after(RETRY_MILLIS) { begin() }
+        }
+    }
+
+    override fun cancel() {
+        retry?.cancel(false)
+        used?.let { release(PlacementOutcome.ABANDONED, it, firstEventMillis = null) }
+    }
+
+    override fun release(outcome: PlacementOutcome, serverId: String, firstEventMillis: Long?) {
+        val id = used ?: return
+        used = null
+        tools.plainChoice.ended(id)
+        tools.health.note(id = id, outcome = outcome, slowness = null, nowMillis = tools.thread.nowMillis())
+    }
+}
+
+/** A server that comes back is found soon, and a call keeps most of its time. */
+private const val RETRY_MILLIS = 30L
+private const val WAIT_PART = 2
+private const val RETRY_AFTER_MILLIS = 500L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
@@ -5,7 +5,6 @@
 import org.bulrushtack.forward.wire.Helper
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
 
 /**
  * The memory that one send has reserved on several engines: all of it or none, renewed while the send runs. A
@@ -32,14 +31,13 @@
             onDone(true)
             return
         }
-        val answers = held.map { reserve(it) }
-        CompletableFuture.allOf(*answers.toTypedArray()).thenRunAsync(
-            {
-                val all = answers.all { it.join() }
+        val answers = held.map { reserve(it) }.reduce { one, other -> one.thenCombine(other, Boolean::and) }
+        answers.thenAcceptAsync(
+            { all ->
                 if (all) renewLater() else release()
                 if (!ended || !all) onDone(all)
             },
-            tools.loop,
+            tools.thread.loop,
         )
     }
 
@@ -71,14 +69,10 @@
 
     private fun renewLater() {
         if (ended) return
-        renewal = tools.loop.schedule(
-            {
-                held.forEach { reserve(it) }
-                renewLater()
-            },
-            RENEWAL_MILLIS,
-            TimeUnit.MILLISECONDS,
-        )
+        renewal = tools.thread.after(RENEWAL_MILLIS) {
+            held.forEach { reserve(it) }
+            renewLater()
+        }
     }
 
     private fun end(part: PlacedPart, tries: Int) {
@@ -95,7 +89,7 @@
                     )
                 }
             },
-            tools.loop,
+            tools.thread.loop,
         )
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SilenceWatch.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SilenceWatch.kt
@@ -1,14 +1,11 @@
 package org.bulrushtack.forward.exchange
 
-import io.netty.channel.EventLoop
-import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.forward.ForwardThread
 import java.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
 
 /** Sees that something expected has not come in time. One timer serves all expectations, which mostly are met. */
 internal class SilenceWatch(
-    private val loop: EventLoop,
-    private val clock: MonotonicClock,
+    private val thread: ForwardThread,
 ) {
     private var timer: ScheduledFuture<*>? = null
     private var dueAtMillis = Long.MAX_VALUE
@@ -17,7 +14,7 @@
     /** Calls [onSilence] unless another expectation replaces this one within [millis], or it is stopped. */
     fun expectWithin(millis: Long, onSilence: () -> Unit) {
         this.onSilence = onSilence
-        val due = clock.nowMillis() + millis
+        val due = thread.nowMillis() + millis
         val earlier = due < dueAtMillis
         dueAtMillis = due
         if (timer == null || earlier) schedule(millis)
@@ -32,11 +29,11 @@
 
     private fun schedule(millis: Long) {
         timer?.cancel(false)
-        timer = loop.schedule({ look() }, millis, TimeUnit.MILLISECONDS)
+        timer = thread.after(millis) { look() }
     }
 
     private fun look() {
-        val leftMillis = dueAtMillis - clock.nowMillis()
+        val leftMillis = dueAtMillis - thread.nowMillis()
         when {
             dueAtMillis == Long.MAX_VALUE -> Unit
             leftMillis > 0 -> schedule(leftMillis)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/FleetFacts.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/FleetFacts.kt
@@ -25,7 +25,7 @@
             turnedCold -> "A backend server is cold."
             else -> null
         }
-        if (sentence != null) log.info(sentence, *fields(entry, context))
+        if (sentence != null) log.info(sentence, fields(entry, context))
     }
 
     fun drop(id: String, context: FactContext) {
@@ -33,8 +33,7 @@
         fleet.drop(id = id, goneAtMillis = context.nowMillis + context.lapseMillis)
         log.info(
             "A backend server's entry is gone.",
-            *fields(previous, context),
-            LogField("usable_millis", context.lapseMillis),
+            fields(previous, context) + LogField("usable_millis", context.lapseMillis),
         )
     }
 
@@ -48,7 +47,7 @@
         )
     }
 
-    private fun fields(entry: BackendServerEntry, context: FactContext) = arrayOf(
+    private fun fields(entry: BackendServerEntry, context: FactContext) = listOf(
         LogField("server", entry.id),
         LogField("address", entry.address),
         LogField("service", entry.service),
--- a/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/StoreFollower.kt
@@ -1,15 +1,14 @@
 package org.bulrushtack.forward.knowledge
 
 import arrow.core.Either
-import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.knowledge.RecordBatch
 import org.bulrushtack.core.knowledge.RecordStore
 import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.core.platform.PlatformFailure
 import org.bulrushtack.forward.ForwardMetrics
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
-import java.util.concurrent.Executor
 
 /**
  * Reads the operators' records and the entries of backend servers from the store. One daemon reads often and the others
@@ -18,8 +17,7 @@
 internal class StoreFollower(
     private val store: RecordStore,
     private val knowledge: KnowledgeBase,
-    private val clock: MonotonicClock,
-    private val thread: Executor,
+    private val thread: ForwardThread,
     private val metrics: ForwardMetrics,
     private val log: EventLog,
 ) {
@@ -28,7 +26,7 @@
 
     /** Asks the store where that is due; [reader] says whether this daemon reads for all. */
     fun tick(reader: Boolean) {
-        val nowMillis = clock.nowMillis()
+        val nowMillis = thread.nowMillis()
         FOLLOWED.forEach { topic ->
             val call = calls.getValue(topic)
             val stale = knowledge.ageMillis(topic) > STALE_MILLIS
@@ -41,7 +39,7 @@
     fun readDaemons() {
         store.newest(StoreTopic.DAEMONS).thenAcceptAsync(
             { answer -> answer.onRight { knowledge.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = SOURCE) } },
-            thread,
+            thread.loop,
         )
     }
 
@@ -50,11 +48,11 @@
         call.askedAtMillis = nowMillis
         val offset = knowledge.endOffset(topic)
         val answer = if (offset < 0) store.newest(topic) else store.read(topic, offset, waitMillis = 0)
-        answer.thenAcceptAsync({ take(topic, call, it) }, thread)
+        answer.thenAcceptAsync({ take(topic, call, it) }, thread.loop)
     }
 
     private fun take(topic: StoreTopic, call: Call, answer: Either<PlatformFailure, RecordBatch>) {
-        val tookMillis = clock.nowMillis() - call.askedAtMillis
+        val tookMillis = thread.nowMillis() - call.askedAtMillis
         call.inFlight = false
         metrics.storeAnswered(topic = topic, millis = tookMillis, failed = answer.isLeft())
         answer.fold(
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
@@ -0,0 +1,126 @@
+package org.bulrushtack.forward.life
+
+import io.netty.channel.EventLoop
+import io.netty.channel.EventLoopGroup
+import org.bulrushtack.core.control.MonotonicClock
+import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.placement.ColdGuard
+import org.bulrushtack.core.placement.PlacementLedger
+import org.bulrushtack.core.placement.PlainServerChoice
+import org.bulrushtack.core.placement.Scheduler
+import org.bulrushtack.core.placement.ServerHealth
+import org.bulrushtack.forward.ForwardMetrics
+import org.bulrushtack.forward.ForwardSettings
+import org.bulrushtack.forward.ForwardThread
+import org.bulrushtack.forward.SystemMonotonicClock
+import org.bulrushtack.forward.exchange.DrainState
+import org.bulrushtack.forward.exchange.ExchangeTools
+import org.bulrushtack.forward.exchange.ForwardHandler
+import org.bulrushtack.forward.exchange.RetryBudgets
+import org.bulrushtack.forward.knowledge.ForwardState
+import org.bulrushtack.forward.knowledge.KnowledgeBase
+import org.bulrushtack.forward.knowledge.PeerRecords
+import org.bulrushtack.forward.knowledge.StoreFollower
+import org.bulrushtack.forward.log.EventLogs
+import org.bulrushtack.forward.peer.CoordinationService
+import org.bulrushtack.forward.peer.PeerConnections
+import org.bulrushtack.forward.peer.PeerSync
+import org.bulrushtack.forward.placement.PlaceFinder
+import org.bulrushtack.forward.placement.PlacementBroker
+import org.bulrushtack.http.EventLoops
+import org.bulrushtack.http.HttpClient
+import kotlin.random.Random
+
+/** Makes the parts of a forwarding daemon and joins them. */
+internal class ForwardParts(
+    settings: ForwardSettings,
+    platform: ForwardPlatform,
+    daemons: DaemonTable,
+    seed: Long,
+) {
+    private val clock: MonotonicClock = SystemMonotonicClock()
+
+    /** The one network thread. */
+    val group: EventLoopGroup = EventLoops.create(threads = 1)
+    val thread = ForwardThread(loop = group.next() as EventLoop, clock = clock)
+    val logs = EventLogs(clock)
+    val metrics = ForwardMetrics()
+    val state = ForwardState(daemons)
+    val knowledge = KnowledgeBase(
+        state = state,
+        decoder = platform.facts,
+        peers = PeerRecords(daemons = daemons, log = logs.of("peers")),
+        clock = clock,
+        log = logs.of("knowledge"),
+    )
+    private val client = HttpClient(group = group, connectTimeoutMillis = CONNECT_MILLIS)
+    private val store = platform.store(client = client, address = settings.storeAddress.toString())
+    val follower = StoreFollower(
+        store = store,
+        knowledge = knowledge,
+        thread = thread,
+        metrics = metrics,
+        log = logs.of("store"),
+    )
+    private val health = ServerHealth()
+    val scheduler = Scheduler(
+        fleet = state.fleet,
+        ledger = PlacementLedger(),
+        health = health,
+        routing = { state.routing },
+    )
+    private val broker = PlacementBroker(scheduler = scheduler, thread = thread)
+    private val connections = PeerConnections(group)
+    val sync = PeerSync(
+        daemons = daemons,
+        knowledge = knowledge,
+        broker = broker,
+        connections = connections,
+        thread = thread,
+        log = logs.of("peers"),
+    )
+    val coordination = CoordinationService(sync = sync, broker = broker, thread = thread)
+    val registration = Registration(
+        store = store,
+        follower = follower,
+        daemons = daemons,
+        thread = thread,
+        log = logs.of("life"),
+    )
+    val drain = DrainState(graceMillis = settings.graceMillis)
+    val entry = EntryQuestions(
+        state = state,
+        codec = platform.entries,
+        keepMillis = settings.directoryKeepMillis,
+        clock = clock,
+    )
+    private val random = Random(seed)
+    private val tools = ExchangeTools(
+        state = state,
+        codec = platform.exchanges,
+        client = client,
+        places = PlaceFinder(
+            broker = broker,
+            daemons = daemons,
+            connections = connections,
+            health = health,
+            thread = thread,
+            log = logs.of("placement"),
+        ),
+        plainChoice = PlainServerChoice(health = health, coldGuard = ColdGuard(), random = random),
+        health = health,
+        budgets = RetryBudgets(
+            ratio = settings.retryRatio,
+            slack = settings.retrySlack,
+            daemons = { daemons.live(clock.nowMillis()).size + 1 },
+        ),
+        thread = thread,
+        random = random,
+        metrics = metrics,
+        log = logs.of("front"),
+    )
+    val front = ForwardHandler(tools = tools, drain = drain)
+}
+
+/** Far above a round trip; a connection that takes longer meets a full queue or a dead machine. */
+private const val CONNECT_MILLIS = 500
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/Registration.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/Registration.kt
@@ -1,21 +1,20 @@
 package org.bulrushtack.forward.life
 
-import io.netty.channel.EventLoop
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.knowledge.RecordStore
 import org.bulrushtack.core.knowledge.StoreTopic
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.knowledge.StoreFollower
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.peer.CoordinationMessages
-import java.util.concurrent.TimeUnit
 
 /** Writes this daemon's record into the store, which gives it its rank, and then reads those of the others. */
 internal class Registration(
     private val store: RecordStore,
     private val follower: StoreFollower,
     private val daemons: DaemonTable,
-    private val loop: EventLoop,
+    private val thread: ForwardThread,
     private val log: EventLog,
 ) {
     private var tries = 0
@@ -27,7 +26,7 @@
         val value = CoordinationMessages.toWire(self, ageMillis = 0).toByteArray()
         store.put(topic = StoreTopic.DAEMONS, key = self.name, value = value).thenAcceptAsync(
             { answer -> answer.fold(ifLeft = { again(it.reason) }, ifRight = { registered(it) }) },
-            loop,
+            thread.loop,
         )
     }
 
@@ -39,7 +38,7 @@
 
     private fun again(reason: String) {
         if (tries == 1) log.warn("This daemon is not registered yet; trying again.", LogField("reason", reason))
-        loop.schedule({ start() }, RETRY_MILLIS, TimeUnit.MILLISECONDS)
+        thread.after(RETRY_MILLIS) { start() }
     }
 }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
@@ -17,16 +17,19 @@
     private val prefix = "[$part]"
 
     /** Writes a line about a decision or a change of belief. */
-    fun info(sentence: String, vararg fields: LogField) {
+    fun info(sentence: String, vararg fields: LogField) = info(sentence, fields.asList())
+
+    /** Writes a line about a decision or a change of belief. */
+    fun info(sentence: String, fields: List<LogField>) {
         if (ordinary.allows()) logger.at(Level.INFO) { fill(sentence, fields) }
     }
 
     /** Writes a line about a failure. */
     fun warn(sentence: String, vararg fields: LogField) {
-        if (failures.allows()) logger.at(Level.WARN) { fill(sentence, fields) }
+        if (failures.allows()) logger.at(Level.WARN) { fill(sentence, fields.asList()) }
     }
 
-    private fun KLoggingEventBuilder.fill(sentence: String, fields: Array<out LogField>) {
+    private fun KLoggingEventBuilder.fill(sentence: String, fields: List<LogField>) {
         message = "$prefix $sentence"
         payload = fields.associate { it.name to it.value }
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationService.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationService.kt
@@ -8,8 +8,8 @@
 import io.grpc.stub.StreamObserver
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
-import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.placement.PlacementDecision
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.placement.PlacementBroker
 import org.bulrushtack.http.SocketPlace
 import org.bulrushtack.protocol.CoordinationMethods
@@ -25,7 +25,7 @@
 internal class CoordinationService(
     private val sync: PeerSync,
     private val broker: PlacementBroker,
-    private val clock: MonotonicClock,
+    private val thread: ForwardThread,
 ) {
     /** Listens at [place]. */
     fun start(group: EventLoopGroup, place: SocketPlace): Server =
@@ -53,7 +53,7 @@
     private fun place(request: PlaceRequest, observer: StreamObserver<PlaceReply>) {
         val calls = observer as ServerCallStreamObserver<PlaceReply>
         calls.setOnCancelHandler { broker.withdrawHere(request.id) }
-        broker.placeHere(PlacementMessages.fromWire(request, clock.nowMillis())) { decision ->
+        broker.placeHere(PlacementMessages.fromWire(request, thread.nowMillis())) { decision ->
             if (!calls.isCancelled) {
                 calls.onNext(CoordinationMessages.toWire(decision))
                 if (decision !is PlacementDecision.Waiting) calls.onCompleted()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -1,9 +1,9 @@
 package org.bulrushtack.forward.peer
 
-import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.knowledge.RecordBatch
 import org.bulrushtack.core.knowledge.StoreTopic
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.knowledge.KnowledgeBase
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
@@ -13,7 +13,6 @@
 import org.bulrushtack.protocol.SyncReply
 import org.bulrushtack.protocol.SyncRequest
 import org.bulrushtack.protocol.TopicPosition
-import java.util.concurrent.Executor
 
 /**
  * Tells the daemon that places work, and the one after it, what this daemon runs, and takes over what they know.
@@ -24,8 +23,7 @@
     private val knowledge: KnowledgeBase,
     private val broker: PlacementBroker,
     private val connections: PeerConnections,
-    private val clock: MonotonicClock,
-    private val thread: Executor,
+    private val thread: ForwardThread,
     private val log: EventLog,
 ) {
     private val probes = ProbeSchedule()
@@ -33,7 +31,7 @@
 
     /** Speaks with the daemons that it is due to speak with. */
     fun tick() {
-        val nowMillis = clock.nowMillis()
+        val nowMillis = thread.nowMillis()
         daemons.expire(nowMillis).forEach { silent ->
             broker.takerGone(silent.name)
             log.info("A daemon is silent.", LogField("daemon", silent.name), LogField("address", silent.peerAddress))
@@ -45,7 +43,7 @@
 
     /** The answer to another daemon's account of itself. */
     fun answer(request: SyncRequest): SyncReply {
-        val nowMillis = clock.nowMillis()
+        val nowMillis = thread.nowMillis()
         hear(nowMillis = nowMillis, record = request.sender, direct = true)
         request.daemonsList.forEach { hear(nowMillis = nowMillis, record = it, direct = false) }
         val residents = request.residentsList.map { PlacementMessages.fromWire(it, request.sender.name, nowMillis) }
@@ -76,7 +74,7 @@
                 inFlight.remove(address)
                 if (failure == null) take(reply, nowMillis) else failed(address, failure)
             },
-            thread,
+            thread.loop,
         )
     }
 
@@ -92,12 +90,12 @@
                 request.addDaemons(CoordinationMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
             }
         }
-        broker.account().forEach { request.addResidents(PlacementMessages.toWire(it, nowMillis)) }
+        broker.account.residents.forEach { request.addResidents(PlacementMessages.toWire(it, nowMillis)) }
         return request.build()
     }
 
     private fun take(reply: SyncReply, askedAtMillis: Long) {
-        val nowMillis = clock.nowMillis()
+        val nowMillis = thread.nowMillis()
         hear(nowMillis = nowMillis, record = reply.sender, direct = true)
         probes.answered(reply.sender.peerAddress)
         reply.daemonsList.forEach { hear(nowMillis = askedAtMillis, record = it, direct = false) }
@@ -130,7 +128,7 @@
     }
 
     private fun failed(address: String, failure: Throwable) {
-        val nowMillis = clock.nowMillis()
+        val nowMillis = thread.nowMillis()
         if (probes.failed(address, nowMillis)) {
             log.info(
                 "A daemon did not answer.",
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
@@ -1,22 +1,21 @@
 package org.bulrushtack.forward.placement
 
-import io.netty.channel.EventLoop
-import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.placement.EngineModel
 import org.bulrushtack.core.placement.PlacementDecision
+import org.bulrushtack.core.placement.PlacementOutcome
 import org.bulrushtack.core.placement.PlacementReport
 import org.bulrushtack.core.placement.PlacementRequest
 import org.bulrushtack.core.placement.PlacementResidents
 import org.bulrushtack.core.placement.ServerHealth
 import org.bulrushtack.core.route.EngineProfile
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.peer.PeerConnections
 import org.bulrushtack.forward.peer.PlacementMessages
 import org.bulrushtack.protocol.CoordinationMethods
-import java.util.concurrent.TimeUnit
 
 /**
  * Finds places on engines: asks the daemon that places work, the next one when that is silent, and decides alone when
@@ -27,8 +26,7 @@
     private val daemons: DaemonTable,
     private val connections: PeerConnections,
     private val health: ServerHealth,
-    private val clock: MonotonicClock,
-    private val loop: EventLoop,
+    private val thread: ForwardThread,
     private val log: EventLog,
 ) {
     /** A search for a place for [request] on engines of [profile]. */
@@ -46,7 +44,7 @@
         private var ended = false
 
         override fun begin() {
-            val placer = daemons.placers(clock.nowMillis()).firstOrNull()
+            val placer = daemons.placers(thread.nowMillis()).firstOrNull()
             val alone = placer == null || placer.name == daemons.self.name || asked >= MAXIMUM_ASKED
             if (alone) decideHere() else ask(checkNotNull(placer))
         }
@@ -55,16 +53,16 @@
             ended = true
             remote?.cancel("the caller left")
             if (decider == null) broker.withdrawHere(request.id)
-            broker.drop(request.id)
+            broker.account.drop(request.id)
         }
 
         override fun release(report: PlacementReport) {
-            broker.drop(request.id)
+            broker.account.drop(request.id)
             val remotely = decider
             if (remotely == null) {
                 broker.releaseHere(report)
             } else {
-                note(report)
+                if (report.outcome == PlacementOutcome.FAILED) health.failed(report.serverId, thread.nowMillis())
                 connections.unary(
                     address = remotely.peerAddress,
                     method = CoordinationMethods.RELEASE,
@@ -84,7 +82,7 @@
 
         private fun decideHere() {
             decider = null
-            broker.reconcile(taker = daemons.self.name, account = broker.account())
+            broker.reconcile(taker = daemons.self.name, account = broker.account.residents)
             broker.placeHere(request) { decide(it) }
         }
 
@@ -94,23 +92,19 @@
             val call = connections.newCall(placer.peerAddress, CoordinationMethods.PLACE, remainingMillis())
             val placement = RemotePlacement(request, call, onDecision = ::decide, onLost = { lost(placer, it) })
             remote = placement
-            placement.start(clock.nowMillis())
-            loop.schedule(
-                {
-                    if (!placement.answered && remote === placement && !ended) {
-                        placement.cancel("no answer")
-                        lost(placer, "no answer within $ANSWER_MILLIS ms")
-                    }
-                },
-                ANSWER_MILLIS,
-                TimeUnit.MILLISECONDS,
-            )
+            placement.start(thread.nowMillis())
+            thread.after(ANSWER_MILLIS) {
+                if (!placement.answered && remote === placement && !ended) {
+                    placement.cancel("no answer")
+                    lost(placer, "no answer within $ANSWER_MILLIS ms")
+                }
+            }
         }
 
         private fun lost(placer: DaemonInfo, reason: String) {
             if (ended) return
             remote = null
-            daemons.failed(placer.peerAddress, clock.nowMillis())
+            daemons.failed(placer.peerAddress, thread.nowMillis())
             log.warn(
                 "The placing daemon gave no answer; asking the next.",
                 LogField("request", request.id),
@@ -125,21 +119,14 @@
             ended = true
             if (decision is PlacementDecision.Placed) {
                 val readMillis = model.readMillis(request.shape.promptTokens)
-                val residents = PlacementResidents.of(request, decision.placement, readMillis, clock.nowMillis())
-                broker.hold(request.id, residents)
+                val residents = PlacementResidents.of(request, decision.placement, readMillis, thread.nowMillis())
+                broker.account.hold(request.id, residents)
             }
             listener.onFound(decision)
         }
 
         private fun remainingMillis(): Long =
-            maxOf(SHORTEST_CALL_MILLIS, request.giveUpAtMillis - clock.nowMillis() + ANSWER_MILLIS)
-
-        /** What this daemon learns of servers counts again when it decides alone. */
-        private fun note(report: PlacementReport) {
-            if (report.outcome == org.bulrushtack.core.placement.PlacementOutcome.FAILED) {
-                health.failed(report.serverId, clock.nowMillis())
-            }
-        }
+            maxOf(SHORTEST_CALL_MILLIS, request.giveUpAtMillis - thread.nowMillis() + ANSWER_MILLIS)
     }
 }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -71,19 +71,17 @@
     }
 
     private fun read(context: ChannelHandlerContext, message: HttpObject) {
-        if (message is HttpResponse) readHead(message)
+        if (message is HttpResponse) {
+            keepAlive = HttpUtil.isKeepAlive(message)
+            val headers = message.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
+            listener.onHead(status = message.status().code(), headers = HttpHeaderList(entries = headers))
+        }
         if (message is HttpContent && message.content().isReadable) {
             listener.onData(ByteBufUtil.getBytes(message.content()))
         }
         if (message is LastHttpContent) complete(context)
     }
 
-    private fun readHead(response: HttpResponse) {
-        keepAlive = HttpUtil.isKeepAlive(response)
-        val headers = response.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
-        listener.onHead(status = response.status().code(), headers = HttpHeaderList(entries = headers))
-    }
-
     private fun complete(context: ChannelHandlerContext) {
         if (!ended.compareAndSet(false, true)) return
         context.pipeline().remove(this)
