Predict first events with the passes beside writers; one client for the store's published calls

Cause (placement): the prediction left out the pass in which a prompt is read and the prompts that arrive meanwhile, so short prompts were packed onto engines that answered them late. Seen in a simulation of alternating bursts (core tests). A prompt that no free engine set can serve in time is no longer held back for engines that don't exist. The invented log and list interfaces are gone: the daemons' log and the VM list are topics of the store, and the stand-in beside the adapter speaks its published calls.

--- a/core/src/main/kotlin/org/bulrushtack/core/knowledge/StoreTopic.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/knowledge/StoreTopic.kt
@@ -10,4 +10,7 @@
 
     /** The daemons themselves. */
     DAEMONS,
+
+    /** The list of VMs that daemons with an interface of their own use. */
+    VMS,
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EnginePlacer.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EnginePlacer.kt
@@ -56,8 +56,9 @@
         val id = server.entry.id
         val residents = ledger.residents(id)
         val slowness = health.slowness(id)
+        val passMillis = model.passMillis(residents)
         val readUntil = residents.fold(0.0) { until, resident ->
-            maxOf(until, resident.placedAtMillis.toDouble()) + resident.readMillis * slowness
+            maxOf(until, resident.placedAtMillis + passMillis / 2) + resident.readMillis * slowness
         }
         return EngineLoad(
             serverId = id,
@@ -65,7 +66,8 @@
             dataCentre = server.entry.dataCentre,
             writers = residents.count { it.writes },
             backlogMillis = maxOf(0.0, readUntil - nowMillis),
-            passMillis = model.passMillis(residents),
+            passMillis = passMillis,
+            readingShare = readingShare(residents, passMillis, nowMillis),
             shortestPauseMillis = residents.filter { it.writes }.minOfOrNull { it.pauseMillis },
             freeTokens = (profile.memoryTokens * MEMORY_SHARE).toLong() - residents.sumOf { it.memoryTokens },
             slowness = slowness,
@@ -73,6 +75,12 @@
         )
     }
 
+    private fun readingShare(residents: List<Resident>, passMillis: Double, nowMillis: Long): Double = residents
+        .filter { it.placedAtMillis > nowMillis - RATE_WINDOW_MILLIS }
+        .sumOf { minOf(it.readMillis, passMillis) }
+        .div(RATE_WINDOW_MILLIS)
+        .coerceAtMost(HIGHEST_READING_SHARE)
+
     private fun record(request: PlacementRequest, choice: Placement, model: EngineModel, nowMillis: Long) {
         val residents = PlacementResidents.of(request, choice, model.readMillis(request.shape.promptTokens), nowMillis)
         ledger.add(residents)
@@ -81,5 +89,9 @@
     }
 }
 
+/** Several passes of a busy engine. */
+private const val RATE_WINDOW_MILLIS = 400L
+private const val HIGHEST_READING_SHARE = 0.5
+
 /** Engines round each request's memory up to blocks, and token counts are estimates by the caller. */
 private const val MEMORY_SHARE = 0.96
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -12,7 +12,7 @@
 ) {
     private val neededTokens = request.shape.promptTokens + request.shape.maximumAnswerTokens
     private val wholeReadMillis = model.readMillis(request.shape.promptTokens)
-    private val leftMillis = request.objectiveAtMillis - nowMillis
+    private val budgetMillis = (request.objectiveAtMillis - nowMillis) * IN_TIME_SHARE
 
     /**
      * The fewest engines that are in time, or, when it is too late for that however long it waits, those that are
@@ -22,19 +22,21 @@
         val options = PART_COUNTS.asSequence()
             .filter { it == 1 || wholeReadMillis / it >= SHORTEST_PART_MILLIS }
             .mapNotNull { option(it) }
-        val inTime = options.firstOrNull { it.firstEventMillis <= leftMillis * IN_TIME_SHARE }
+        val inTime = options.firstOrNull { it.firstEventMillis <= budgetMillis }
         return inTime ?: if (isHopeless()) options.minByOrNull { it.firstEventMillis } else null
     }
 
     private fun isHopeless(): Boolean {
-        val mostParts = (wholeReadMillis / SHORTEST_PART_MILLIS).toInt().coerceIn(1, PART_COUNTS.last())
-        return leftMillis * IN_TIME_SHARE < wholeReadMillis / mostParts + profile.stride * profile.stepMillis
+        val mostParts = (wholeReadMillis / SHORTEST_PART_MILLIS).toInt().coerceIn(1, maxOf(1, minOf(loads.size, PART_COUNTS.last())))
+        return budgetMillis < wholeReadMillis / mostParts + profile.stride * profile.stepMillis
     }
 
     private fun option(parts: Int): Placement? {
         val partMillis = wholeReadMillis / parts
         val perPass = model.longestReadMillis(partMillis, request.shape.promptTokens / parts)
-        val fitting = loads.filter { it.bearsReading(perPass) }.sortedBy { cost(it, partMillis) }
+        val fitting = loads
+            .filter { it.bearsReading(perPass) }
+            .sortedWith(compareBy({ it.firstEventMillis(partMillis) > budgetMillis }, { cost(it, partMillis) }))
         val first = fitting.firstOrNull { canWrite(it, parts) }
         val helpers = fitting.asSequence().filter { it !== first }.take(parts - 1).toList()
         if (first == null || helpers.size < parts - 1) return null
@@ -99,7 +101,7 @@
 
 /** Costs in milliseconds of the first event that placement accepts to avoid something. */
 private const val MIXED_COST_MILLIS = 150.0
-private const val IDLE_COST_MILLIS = 60.0
+private const val IDLE_COST_MILLIS = 100.0
 private const val PACKING_GAIN_MILLIS = 2.0
 private const val FAR_COST_MILLIS = 3.0
 private const val FAILURE_COST_MILLIS = 600.0
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
@@ -0,0 +1,64 @@
+package org.bulrushtack.core.fleet
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+
+class FleetRegionTest : AnnotationSpec() {
+    private val entry = BackendServerEntry(
+        id = "i-1",
+        service = "guide",
+        address = "10.1.0.1:80",
+        dataCentre = "a",
+        slots = 11,
+        leaving = false,
+        coldMillis = 500,
+        bornAtMillis = 1,
+    )
+
+    private fun fleet() = FleetRegion().apply { put(entry, nowMillis = 1_000) }
+
+    @Test
+    fun `a listed server may be used and is cold from when its entry was read`() {
+        fleet().usable("i-1", nowMillis = 1_000)?.coldUntilMillis shouldBe 1_500
+    }
+
+    @Test
+    fun `a leaving server gets nothing, whoever said so`() {
+        val testSubject = fleet()
+
+        testSubject.markLeaving("i-1")
+
+        testSubject.usable("i-1", nowMillis = 1_000) shouldBe null
+    }
+
+    @Test
+    fun `nothing goes to a data centre while it is taken out`() {
+        val testSubject = fleet()
+
+        testSubject.setTakenOut("a", out = true)
+        testSubject.usableOf("guide", nowMillis = 1_000).size shouldBe 0
+        testSubject.setTakenOut("a", out = false)
+
+        testSubject.usableOf("guide", nowMillis = 1_000).size shouldBe 1
+    }
+
+    @Test
+    fun `a server whose entry was dropped after an outage of the store stays until its time is over`() {
+        val testSubject = fleet()
+
+        testSubject.drop("i-1", goneAtMillis = 3_000)
+
+        testSubject.usable("i-1", nowMillis = 2_999)?.entry shouldBe entry
+        testSubject.usable("i-1", nowMillis = 3_000) shouldBe null
+    }
+
+    @Test
+    fun `a server whose entry comes back is no longer going`() {
+        val testSubject = fleet()
+        testSubject.drop("i-1", goneAtMillis = 3_000)
+
+        testSubject.put(entry, nowMillis = 2_000)
+
+        testSubject.usable("i-1", nowMillis = 9_000)?.entry shouldBe entry
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/knowledge/TopicKnowledgeTest.kt
@@ -0,0 +1,84 @@
+package org.bulrushtack.core.knowledge
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+
+class TopicKnowledgeTest : AnnotationSpec() {
+    private fun record(key: String, offset: Long, value: String? = "v$offset") =
+        StoreRecord(key = key, offset = offset, value = value?.toByteArray())
+
+    private fun batch(vararg records: StoreRecord, complete: Boolean = false, end: Long = records.maxOf { it.offset } + 1) =
+        RecordBatch(records = records.toList(), complete = complete, endOffset = end)
+
+    @Test
+    fun `a record that is older than the known one of its key changes nothing`() {
+        val testSubject = TopicKnowledge()
+        testSubject.merge(batch(record("config", 5)))
+
+        testSubject.merge(batch(record("config", 3))).size shouldBe 0
+        testSubject.endOffset shouldBe 6
+    }
+
+    @Test
+    fun `a key that is missing from a complete batch was dropped`() {
+        val testSubject = TopicKnowledge()
+        testSubject.merge(batch(record("a", 0), record("b", 1)))
+
+        val news = testSubject.merge(batch(record("a", 0), complete = true, end = 4))
+
+        news.map { it.key to it.value } shouldBe listOf("b" to null)
+    }
+
+    @Test
+    fun `a key that was written after a complete batch was read is not dropped by it`() {
+        val testSubject = TopicKnowledge()
+        testSubject.merge(batch(record("a", 0), record("b", 9)))
+
+        testSubject.merge(batch(record("a", 0), complete = true, end = 4)).size shouldBe 0
+    }
+
+    @Test
+    fun `a peer gets what it has missed, and a peer that knows nothing gets everything`() {
+        val testSubject = TopicKnowledge()
+        testSubject.merge(batch(record("a", 4), complete = true, end = 5))
+        testSubject.merge(batch(record("b", 5), record("a", 6, value = null)))
+
+        testSubject.since(5)?.records?.map { it.key }.orEmpty() shouldContainExactlyInAnyOrder listOf("a", "b")
+        testSubject.since(-1)?.complete shouldBe true
+        testSubject.since(-1)?.records?.map { it.key } shouldBe listOf("b")
+        testSubject.since(7) shouldBe null
+    }
+
+    @Test
+    fun `daemons that pass batches on in any order agree with the store and never go back`() {
+        repeat(DRAWS) { draw ->
+            val random = Random(draw)
+            val log = List(40) { offset ->
+                record("k${random.nextInt(5)}", offset.toLong(), if (random.nextInt(4) == 0) null else "v$offset")
+            }
+            val daemons = List(3) { TopicKnowledge() }
+            val seen = List(3) { HashMap<String, Long>() }
+
+            repeat(200) {
+                val reader = random.nextInt(3)
+                val source = daemons[random.nextInt(3)]
+                val offset = daemons[reader].endOffset
+                val fromStore = RecordBatch(log.filter { it.offset >= offset }.take(7), false, minOf(40, maxOf(0, offset) + 7))
+                val batch = if (random.nextBoolean()) fromStore else source.since(offset)
+                batch?.let { daemons[reader].merge(it) }?.forEach { news ->
+                    check((seen[reader][news.key] ?: -1) < news.offset) { "draw $draw went back on ${news.key}" }
+                    seen[reader][news.key] = news.offset
+                }
+            }
+
+            val newest = log.groupBy { it.key }.mapValues { (_, records) -> records.last().offset }
+            daemons.zip(seen).filter { it.first.endOffset == 40L }.forEach { it.second shouldBe newest }
+        }
+    }
+
+    private companion object {
+        const val DRAWS = 50
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/ColdGuardTest.kt
@@ -0,0 +1,36 @@
+package org.bulrushtack.core.placement
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import kotlin.random.Random
+
+class ColdGuardTest : AnnotationSpec() {
+    @Test
+    fun `daemons that don't hear of one another keep a cold server's bound in every second`() {
+        repeat(DRAWS) { draw ->
+            val random = Random(draw)
+            val daemons = List(3) { ColdGuard() }
+            val sends = mutableListOf<Long>()
+            var nowMillis = 0L
+
+            repeat(2_000) {
+                nowMillis += random.nextLong(4)
+                val daemon = daemons[random.nextInt(daemons.size)]
+                if (daemon.allows("i-1", PER_SECOND, nowMillis)) {
+                    daemon.sent("i-1", nowMillis)
+                    sends.add(nowMillis)
+                }
+            }
+
+            sends.maxOf { start -> sends.count { it in start until start + 1_000 } } shouldBeLessThanOrEqual BOUND
+        }
+    }
+
+    private companion object {
+        const val DRAWS = 30
+        const val PER_SECOND = 26.0
+
+        /** The users' bound: requests a second times 1.5, and five more. */
+        const val BOUND = 44
+    }
+}
--- a/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
@@ -10,7 +10,8 @@
 import kotlin.random.Random
 
 class CompletionControllerTest : AnnotationSpec() {
-    private val blackboard = Blackboard(identity = MemberIdentity(name = "vm-1", incarnation = "life", dataCentre = "a"))
+    private val identity = MemberIdentity(name = "vm-1", incarnation = "life", dataCentre = "a")
+    private val blackboard = Blackboard(identity = identity)
     private val testSubject = CompletionController(
         blackboard = blackboard,
         directory = BackendServerDirectory(blackboard),
--- /dev/null
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeLoad.kt
@@ -0,0 +1,70 @@
+package org.bulrushtack.core.testing
+
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.random.asJavaRandom
+
+/** Draws the prompts of a load in which bursts of short and of long prompts take turns. */
+internal class FakeLoad(
+    seed: Int,
+    private val durationMillis: Long = 30_000,
+    private val burstMillis: Long = 10_000,
+) {
+    private val random = Random(seed)
+
+    /** Prompts by arrival. A short burst comes first, then a long one, and so on. */
+    fun prompts(): List<FakePrompt> = KINDS.flatMap { arrivals(it) }.sortedBy { it.arrivesAtMillis }
+
+    private fun arrivals(kind: Kind): List<FakePrompt> {
+        val highest = maxOf(kind.inShortBurst, kind.inLongBurst)
+        val times = generateSequence(gapMillis(kind.perSecond * highest)) { it + gapMillis(kind.perSecond * highest) }
+            .takeWhile { it < durationMillis }
+            .filter { atMillis -> random.nextDouble() * highest < factor(kind, atMillis) }
+        return times.mapIndexed { index, atMillis -> prompt(kind, atMillis.toLong(), number = index) }.toList()
+    }
+
+    private fun factor(kind: Kind, atMillis: Double): Double {
+        val inShortBurst = (atMillis / burstMillis).toLong() % 2 == 0L
+        return if (inShortBurst) kind.inShortBurst else kind.inLongBurst
+    }
+
+    private fun gapMillis(perSecond: Double): Double = -ln(1 - random.nextDouble()) / perSecond * 1_000
+
+    private fun prompt(kind: Kind, atMillis: Long, number: Int) = FakePrompt(
+        id = "${kind.name}-$number",
+        kind = kind.name,
+        arrivesAtMillis = atMillis,
+        promptTokens = lognormal(kind.meanTokens, kind.spread).coerceIn(100.0, kind.maximumTokens).toLong(),
+        events = lognormal(kind.meanEvents, EVENT_SPREAD).coerceIn(2.0, 2.5 * kind.meanEvents).toInt(),
+        objectiveMillis = kind.objectiveMillis,
+        pauseMillis = kind.pauseMillis,
+        worth = kind.worth,
+    )
+
+    private fun lognormal(mean: Double, spread: Double): Double =
+        exp(ln(mean) - spread * spread / 2 + spread * random.asJavaRandom().nextGaussian())
+
+    private data class Kind(
+        val name: String,
+        val perSecond: Double,
+        val inShortBurst: Double,
+        val inLongBurst: Double,
+        val meanTokens: Double,
+        val spread: Double,
+        val maximumTokens: Double,
+        val meanEvents: Double,
+        val objectiveMillis: Long,
+        val pauseMillis: Long,
+        val worth: Double,
+    )
+
+    private companion object {
+        const val EVENT_SPREAD = 0.6
+        val KINDS = listOf(
+            Kind("short", 25.8, 2.4, 0.35, 4_960.0, 0.9, 23_800.0, 33.0, 300, 250, 1.3),
+            Kind("medium", 1.31, 0.5, 1.3, 45_000.0, 0.5, 110_000.0, 20.0, 1_500, 600, 4.2),
+            Kind("long", 0.793, 0.05, 2.8, 154_000.0, 0.55, 700_000.0, 16.0, 3_000, 1_000, 21.0),
+        )
+    }
+}
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/Daemon.kt
@@ -25,8 +25,9 @@
 import org.bulrushtack.http.HttpClient
 import org.bulrushtack.http.HttpLimits
 import org.bulrushtack.http.HttpServer
-import org.bulrushtack.platform.HttpPlatformLog
-import org.bulrushtack.platform.HttpVmDirectory
+import org.bulrushtack.platform.KeyedVmDirectory
+import org.bulrushtack.platform.StorePlatformLog
+import org.bulrushtack.platform.store.KeyedRecordStore
 import java.util.concurrent.Executors
 import kotlin.random.Random
 
@@ -49,7 +50,7 @@
     )
     private val metrics = DaemonMetrics()
     private val connections = PeerConnections(group)
-    private val platformLog = HttpPlatformLog(client = client, address = settings.platformAddress)
+    private val platformLog = StorePlatformLog(client = client, address = settings.platformAddress)
     private val runner = WorkRunner(
         identity = identity,
         control = control,
@@ -96,7 +97,7 @@
         control.start()
         LogFollower(platformLog = platformLog, control = control, clock = clock, timer = timer).start()
         VmPoller(
-            directory = HttpVmDirectory(client = client, address = settings.platformAddress),
+            directory = KeyedVmDirectory(KeyedRecordStore(client = client, address = settings.platformAddress)),
             control = control,
             timer = timer,
         ).start()
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
@@ -10,10 +10,10 @@
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageResponse
 import org.bulrushtack.http.SocketPlace
+import org.bulrushtack.platform.standin.StoreOptions
 import org.bulrushtack.standin.ListenOptions
 import org.bulrushtack.standin.engine.EngineOptions
 import org.bulrushtack.standin.engine.EngineStandIn
-import org.bulrushtack.standin.platform.PlatformOptions
 import org.bulrushtack.standin.platform.PlatformStandIn
 import org.bulrushtack.standin.service.ServiceOptions
 import org.bulrushtack.standin.service.ServiceStandIn
@@ -31,7 +31,7 @@
     private val group = EventLoops.create(2)
     private val client = HttpClient(group)
     private val mapper: ObjectMapper = jacksonObjectMapper()
-    private val platform = PlatformStandIn(PlatformOptions(vmLagMillis = 0)).start(ListenOptions())
+    private val platform = PlatformStandIn(StoreOptions()).start(ListenOptions())
     val engine = EngineStandIn(engineOptions).start(ListenOptions())
     val service = ServiceStandIn(ServiceOptions(coldMillis = 0)).start(ListenOptions())
     val daemons = (1..daemonCount).map { startDaemon(settings("vm-$it")) }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -52,6 +52,7 @@
             LogField("reason", end.reason),
             LogField("sends", sends.arrived),
             LogField("again", again),
+            LogField("first_event_millis", end.firstEventMillis),
             LogField("age_millis", answer.ageMillis()),
         )
         if (again) attempt() else answer.afterSend(end = end, sends = sends)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -104,7 +104,7 @@
         reservations?.release()
         val outcome = if (blame) placementOutcome(end.outcome) else PlacementOutcome.ABANDONED
         place?.release(outcome, end.faultyServerId, firstEventMillis)
-        listener.attemptEnded(end)
+        listener.attemptEnded(end.copy(firstEventMillis = firstEventMillis))
     }
 
     private fun placementOutcome(outcome: SendOutcome): PlacementOutcome = when (outcome) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendEnd.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendEnd.kt
@@ -7,6 +7,7 @@
  * How one send ended.
  *
  * @property faultyServerId the server that it says something about
+ * @property firstEventMillis the time from the send to the first event that reached the caller, or null
  * @property failure the server's own answer, where it is a failure that the caller may get
  */
 internal data class SendEnd(
@@ -14,4 +15,5 @@
     val reason: String,
     val faultyServerId: String,
     val failure: HttpMessageResponse? = null,
+    val firstEventMillis: Long? = null,
 )
--- a/standin/src/main/kotlin/org/bulrushtack/standin/PlatformCommand.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/PlatformCommand.kt
@@ -3,13 +3,13 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.default
-import org.bulrushtack.standin.platform.PlatformOptions
+import org.bulrushtack.platform.standin.StoreOptions
 import org.bulrushtack.standin.platform.PlatformStandIn
 
 /** Starts the platform's stand-in. */
 @OptIn(ExperimentalCli::class)
-internal class PlatformCommand : StandInCommand(name = "platform", description = "log, VM list and weight store") {
-    private val defaults = PlatformOptions()
+internal class PlatformCommand : StandInCommand(name = "platform", description = "the store, with the VM list in it") {
+    private val defaults = StoreOptions()
     private val retentionMillis by option(
         ArgType.Int,
         fullName = "retention-millis",
@@ -24,15 +24,18 @@
         ArgType.Int,
         fullName = "vm-lag-millis",
         description = "age of the VM list",
-    ).default(defaults.vmLagMillis.toInt())
+    ).default(VM_LAG_MILLIS)
 
     override fun run() {
-        val options = PlatformOptions(
+        val options = StoreOptions(
             retentionMillis = retentionMillis.toLong(),
             appendsPerSecond = appends,
-            vmLagMillis = lagMillis.toLong(),
+            lagMillis = lagMillis.toLong(),
         )
         val standIn = PlatformStandIn(options).start(listen())
         announce(standIn = standIn, kind = "platform", serves = "log")
     }
 }
+
+/** A change in the VM list shows after this time, unless told otherwise. */
+private const val VM_LAG_MILLIS = 2_000
