Leave a kept connection alone when an earlier request's time limit ends; keep gauges

Cause: HttpClient's time limit of a request that had been answered still closed its connection, which by then served another request. Ruled out: load (it failed alone as well), the engine stand-in. Micrometer holds gauges weakly, so they read NaN after a collection (found by ForwardingTest).

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/DaemonMetrics.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/DaemonMetrics.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.daemon.life
 
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.core.instrument.binder.jvm.JvmMemoryMetrics
 import io.micrometer.core.instrument.binder.system.ProcessorMetrics
@@ -25,7 +26,7 @@
 
     /** Registers a value that is read whenever the measures are. */
     fun gauge(name: String, value: () -> Number) {
-        registry.gauge(name, value) { it().toDouble() }
+        Gauge.builder(name) { value() }.strongReference(true).register(registry)
     }
 
     /** Notes the time to the first token. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward
 
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
@@ -17,7 +18,7 @@
 
     /** Registers a value that is read whenever the measures are. */
     fun gauge(name: String, value: () -> Number) {
-        registry.gauge(name, value) { it().toDouble() }
+        Gauge.builder(name) { value() }.strongReference(true).register(registry)
     }
 
     /** Notes a request of [route] that was answered with a server's [status] after [millis]. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
@@ -85,6 +85,7 @@
         if ((idle || parts.drain.mustEnd(nowMillis)) && ended.count > 0) {
             log.info("The daemon has ended.", LogField("active", parts.front.activeCount))
             peerServer?.shutdown()
+            parts.group.shutdownGracefully()
             ended.countDown()
         }
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -38,10 +38,12 @@
 
     override fun cancel() = breakOff(reason = "cancelled")
 
-    /** Ends the exchange from this side; nothing was sent unless there is a connection. */
+    /**
+     * Ends the exchange from this side; nothing was sent unless there is a connection. After a whole answer this does
+     * nothing, since the connection may serve another request by then.
+     */
     fun breakOff(reason: String) {
-        fail(sent = channel != null, reason = reason)
-        channel?.close()
+        if (fail(sent = channel != null, reason = reason)) channel?.close()
     }
 
     override fun setReading(reading: Boolean) {
@@ -89,7 +91,9 @@
         listener.onEnd()
     }
 
-    private fun fail(sent: Boolean, reason: String) {
-        if (ended.compareAndSet(false, true)) listener.onFailure(HttpFailure(sent = sent, reason = reason))
+    private fun fail(sent: Boolean, reason: String): Boolean {
+        val isFirst = ended.compareAndSet(false, true)
+        if (isFirst) listener.onFailure(HttpFailure(sent = sent, reason = reason))
+        return isFirst
     }
 }
--- /dev/null
+++ b/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
@@ -0,0 +1,71 @@
+package org.bulrushtack.http
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.netty.buffer.Unpooled
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+
+class ClientExchangeTest : AnnotationSpec() {
+    private val request = ClientRequest(method = "GET", address = "127.0.0.1:1", path = "/")
+
+    private fun response(status: HttpResponseStatus, body: String = "") =
+        DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.copiedBuffer(body.toByteArray()))
+            .apply { headers().set("content-length", body.length) }
+
+    @Test
+    fun `a time limit that ends after the answer leaves the kept connection to the next request`() {
+        val channel = EmbeddedChannel()
+        val listener = FakeResponseListener()
+        val testSubject = ClientExchange(request, listener, onIdle = { _, _ -> })
+        testSubject.start(channel)
+        channel.writeInbound(response(HttpResponseStatus.OK, body = "whole"))
+
+        testSubject.breakOff(reason = "timed out")
+
+        channel.isOpen shouldBe true
+        listener.body shouldBe "whole"
+        listener.failures shouldBe emptyList()
+    }
+
+    @Test
+    fun `a time limit that ends before the answer closes the connection`() {
+        val channel = EmbeddedChannel()
+        val listener = FakeResponseListener()
+        val testSubject = ClientExchange(request, listener, onIdle = { _, _ -> })
+        testSubject.start(channel)
+
+        testSubject.breakOff(reason = "timed out")
+
+        channel.isOpen shouldBe false
+        listener.failures shouldBe listOf(HttpFailure(sent = true, reason = "timed out"))
+    }
+
+    @Test
+    fun `what is broken off before there is a connection was not sent`() {
+        val channel = EmbeddedChannel()
+        val listener = FakeResponseListener()
+        val testSubject = ClientExchange(request, listener, onIdle = { _, _ -> })
+
+        testSubject.breakOff(reason = "timed out")
+        testSubject.start(channel)
+
+        channel.isOpen shouldBe false
+        channel.outboundMessages().size shouldBe 0
+        listener.failures.single().sent shouldBe false
+    }
+
+    @Test
+    fun `an informational answer is passed over`() {
+        val channel = EmbeddedChannel()
+        val listener = FakeResponseListener()
+        ClientExchange(request, listener, onIdle = { _, _ -> }).start(channel)
+
+        channel.writeInbound(response(HttpResponseStatus.CONTINUE), response(HttpResponseStatus.OK, body = "whole"))
+
+        listener.statuses shouldBe listOf(200)
+        listener.body shouldBe "whole"
+    }
+}
--- /dev/null
+++ b/http/src/test/kotlin/org/bulrushtack/http/FakeResponseListener.kt
@@ -0,0 +1,23 @@
+package org.bulrushtack.http
+
+/** Remembers what became of a request. */
+internal class FakeResponseListener : ResponseListener {
+    val statuses = mutableListOf<Int>()
+    val failures = mutableListOf<HttpFailure>()
+    var body = ""
+        private set
+
+    override fun onHead(status: Int, headers: HttpHeaderList) {
+        statuses.add(status)
+    }
+
+    override fun onData(bytes: ByteArray) {
+        body += bytes.decodeToString()
+    }
+
+    override fun onEnd() = Unit
+
+    override fun onFailure(failure: HttpFailure) {
+        failures.add(failure)
+    }
+}
