--- a/core/src/main/kotlin/org/bulrushtack/core/exchange/Patience.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/exchange/Patience.kt
@@ -24,7 +24,7 @@
             )
             return Patience(
                 placeMillis = callerLeavesMillis / 2,
-                firstEventMillis = callerLeavesMillis / 2,
+                firstEventMillis = maxOf(callerLeavesMillis / 2, callerLeavesMillis - SECOND_TRY_MILLIS),
                 pauseMillis = maxOf(SHORTEST_STALL_MILLIS, pause * STALL_PAUSES),
             )
         }
@@ -36,6 +36,9 @@
 private const val OBJECTIVES = 4
 private const val PAUSES = 8
 
+/** What a second server needs for the first event of a long prompt; less would leave a first one that only is late. */
+private const val SECOND_TRY_MILLIS = 3_000L
+
 /** A stall is seen before the caller leaves, and not for a pass that is only late. */
 private const val SHORTEST_STALL_MILLIS = 800L
 private const val STALL_PAUSES = 3
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineLoad.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineLoad.kt
@@ -4,6 +4,8 @@
  * The state of one engine that placement compares.
  *
  * @property backlogMillis the time until all prompts that it holds have been read
+ * @property ownBacklogMillis that part of it which belongs to prompts whose answers are written here; reading a part for
+ *   another engine would go ahead of them
  * @property passMillis the time of a pass without reading
  * @property readingShare the part of the time that newly placed prompts have taken of late, from 0 to 0.5
  * @property shortestPauseMillis the shortest pause that one of its answers bears, or null when it writes none
@@ -16,6 +18,7 @@
     val dataCentre: String,
     val writers: Int,
     val backlogMillis: Double,
+    val ownBacklogMillis: Double,
     val passMillis: Double,
     val readingShare: Double,
     val shortestPauseMillis: Long?,
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EnginePlacer.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EnginePlacer.kt
@@ -57,15 +57,15 @@
         val residents = ledger.residents(id)
         val slowness = health.slowness(id)
         val passMillis = model.passMillis(residents)
-        val readUntil = residents.fold(0.0) { until, resident ->
-            maxOf(until, resident.placedAtMillis + passMillis / 2) + resident.readMillis * slowness
-        }
+        val readUntil = readUntil(residents, passMillis, slowness)
+        val isReadingOwn = residents.any { it.writes } && readUntil(residents.filter { it.writes }, passMillis, slowness) > nowMillis
         return EngineLoad(
             serverId = id,
             address = server.entry.address,
             dataCentre = server.entry.dataCentre,
             writers = residents.count { it.writes },
             backlogMillis = maxOf(0.0, readUntil - nowMillis),
+            ownBacklogMillis = if (isReadingOwn) maxOf(0.0, readUntil - nowMillis) else 0.0,
             passMillis = passMillis,
             readingShare = readingShare(residents, passMillis, nowMillis),
             shortestPauseMillis = residents.filter { it.writes }.minOfOrNull { it.pauseMillis },
@@ -75,6 +75,11 @@
         )
     }
 
+    private fun readUntil(residents: List<Resident>, passMillis: Double, slowness: Double): Double =
+        residents.fold(0.0) { until, resident ->
+            maxOf(until, resident.placedAtMillis + passMillis / 2) + resident.readMillis * slowness
+        }
+
     private fun readingShare(residents: List<Resident>, passMillis: Double, nowMillis: Long): Double = residents
         .filter { it.placedAtMillis > nowMillis - RATE_WINDOW_MILLIS }
         .sumOf { minOf(it.readMillis, passMillis) }
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -38,7 +38,7 @@
             .filter { it.bearsReading(perPass) }
             .sortedWith(compareBy({ it.firstEventMillis(partMillis) > budgetMillis }, { cost(it, partMillis) }))
         val first = fitting.firstOrNull { canWrite(it, parts) }
-        val helpers = fitting.asSequence().filter { it !== first }.take(parts - 1).toList()
+        val helpers = fitting.asSequence().filter { it !== first && it.ownBacklogMillis <= 0 }.take(parts - 1).toList()
         if (first == null || helpers.size < parts - 1) return null
         return place(first, helpers, partMillis)
     }
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeEngine.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeEngine.kt
@@ -21,8 +21,10 @@
     /** Requests that hold a slot. */
     val inFlight: Int get() = writing.size + reading.count { it.writesHere }
 
+    /** A part that is read for another engine goes ahead of prompts of its own. */
     fun add(part: Part, nowMillis: Double) {
-        reading.addLast(part)
+        val position = if (part.writesHere) reading.size else reading.count { !it.writesHere }
+        reading.add(position, part)
         if (passEndsAtMillis == null) startPass(nowMillis)
     }
 
@@ -89,7 +91,8 @@
         val isDone: Boolean get() = emitted >= events
 
         fun emit(nowMillis: Double) {
-            if (emitted == 0) firstAtMillis = nowMillis else longestPauseMillis = maxOf(longestPauseMillis, nowMillis - lastAtMillis)
+            if (emitted == 0) firstAtMillis = nowMillis
+            if (emitted > 0) longestPauseMillis = maxOf(longestPauseMillis, nowMillis - lastAtMillis)
             lastAtMillis = nowMillis
             emitted += 1
         }
