--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -64,8 +64,8 @@
         suspectedAtMillis[peerAddress].let { it != null && nowMillis - it < SUSPECT_MILLIS }
 }
 
-/** Five syncs; callers are told of a dead daemon for this long at most, and the same again while the news spreads. */
-private const val ALIVE_MILLIS = 2_000L
+/** Four syncs, of which one may be lost; callers are told of a dead daemon for this long and while the news spreads. */
+private const val ALIVE_MILLIS = 1_600L
 
 /** How long a daemon that did not answer is passed over. */
 private const val SUSPECT_MILLIS = 1_500L
