--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineLoad.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineLoad.kt
@@ -4,7 +4,7 @@
  * The state of one engine that placement compares.
  *
  * @property backlogMillis the time until all prompts that it holds have been read
- * @property ownBacklogMillis that part of it which belongs to prompts whose answers are written here; reading a part for
+ * @property ownBacklogMillis the backlog, if prompts whose answers are written here are in it; a part that is read for
  *   another engine would go ahead of them
  * @property passMillis the time of a pass without reading
  * @property readingShare the part of the time that newly placed prompts have taken of late, from 0 to 0.5
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EnginePlacer.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EnginePlacer.kt
@@ -58,7 +58,7 @@
         val slowness = health.slowness(id)
         val passMillis = model.passMillis(residents)
         val readUntil = readUntil(residents, passMillis, slowness)
-        val isReadingOwn = residents.any { it.writes } && readUntil(residents.filter { it.writes }, passMillis, slowness) > nowMillis
+        val isReadingOwn = readUntil(residents.filter { it.writes }, passMillis, slowness) > nowMillis
         return EngineLoad(
             serverId = id,
             address = server.entry.address,
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -23,11 +23,12 @@
             .filter { it == 1 || wholeReadMillis / it >= SHORTEST_PART_MILLIS }
             .mapNotNull { option(it) }
         val inTime = options.firstOrNull { it.firstEventMillis <= budgetMillis }
-        return inTime ?: if (isHopeless()) options.minByOrNull { it.firstEventMillis } else null
+        return inTime ?: options.takeIf { isHopeless() }?.minByOrNull { it.firstEventMillis }
     }
 
     private fun isHopeless(): Boolean {
-        val mostParts = (wholeReadMillis / SHORTEST_PART_MILLIS).toInt().coerceIn(1, maxOf(1, minOf(loads.size, PART_COUNTS.last())))
+        val engines = minOf(loads.size, PART_COUNTS.last())
+        val mostParts = (wholeReadMillis / SHORTEST_PART_MILLIS).toInt().coerceIn(1, maxOf(1, engines))
         return budgetMillis < wholeReadMillis / mostParts + profile.stride * profile.stepMillis
     }
 
@@ -38,7 +39,7 @@
             .filter { it.bearsReading(perPass) }
             .sortedWith(compareBy({ it.firstEventMillis(partMillis) > budgetMillis }, { cost(it, partMillis) }))
         val first = fitting.firstOrNull { canWrite(it, parts) }
-        val helpers = fitting.asSequence().filter { it !== first && it.ownBacklogMillis <= 0 }.take(parts - 1).toList()
+        val helpers = fitting.filter { it !== first && it.ownBacklogMillis <= 0 }.take(parts - 1)
         if (first == null || helpers.size < parts - 1) return null
         return place(first, helpers, partMillis)
     }
--- a/core/src/test/kotlin/org/bulrushtack/core/knowledge/TopicKnowledgeTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/knowledge/TopicKnowledgeTest.kt
@@ -9,8 +9,11 @@
     private fun record(key: String, offset: Long, value: String? = "v$offset") =
         StoreRecord(key = key, offset = offset, value = value?.toByteArray())
 
-    private fun batch(vararg records: StoreRecord, complete: Boolean = false, end: Long = records.maxOf { it.offset } + 1) =
-        RecordBatch(records = records.toList(), complete = complete, endOffset = end)
+    private fun batch(
+        vararg records: StoreRecord,
+        complete: Boolean = false,
+        end: Long = records.maxOf { it.offset } + 1,
+    ) = RecordBatch(records = records.toList(), complete = complete, endOffset = end)
 
     @Test
     fun `a record that is older than the known one of its key changes nothing`() {
@@ -65,7 +68,11 @@
                 val reader = random.nextInt(3)
                 val source = daemons[random.nextInt(3)]
                 val offset = daemons[reader].endOffset
-                val fromStore = RecordBatch(log.filter { it.offset >= offset }.take(7), false, minOf(40, maxOf(0, offset) + 7))
+                val fromStore = RecordBatch(
+                    records = log.filter { it.offset >= offset }.take(7),
+                    complete = false,
+                    endOffset = minOf(40, maxOf(0, offset) + 7),
+                )
                 val batch = if (random.nextBoolean()) fromStore else source.since(offset)
                 batch?.let { daemons[reader].merge(it) }?.forEach { news ->
                     check((seen[reader][news.key] ?: -1) < news.offset) { "draw $draw went back on ${news.key}" }
--- a/core/src/test/kotlin/org/bulrushtack/core/placement/SchedulerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/SchedulerTest.kt
@@ -21,7 +21,8 @@
     private fun scheduler(servers: Int): Scheduler {
         val fleet = FleetRegion()
         repeat(servers) { number ->
-            fleet.put(BackendServerEntry("i-$number", "guide", "10.0.0.$number:80", "a", 11, false, 0, 0), nowMillis = 0)
+            val entry = BackendServerEntry("i-$number", "guide", "10.0.0.$number:80", "a", 11, false, 0, 0)
+            fleet.put(entry, nowMillis = 0)
         }
         ledger = PlacementLedger()
         return Scheduler(fleet, ledger, ServerHealth()) { routing }
@@ -90,7 +91,7 @@
     }
 
     @Test
-    fun `a request that finds no room waits, gets the room that is freed, and is refused when it has waited too long`() {
+    fun `requests that find no room wait and get the room that is freed`() {
         val testSubject = scheduler(servers = 1)
         placed(testSubject.submit(long("a", 150_000), nowMillis = 0))
         testSubject.submit(request("b", 5_000), nowMillis = 1).shouldBeInstanceOf<PlacementDecision.Waiting>()
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/taking/CompletionSession.kt
@@ -34,7 +34,7 @@
         val earlier = synchronized(this) {
             progress.begin(number)
             progressed = false
-            takeBreakOff()
+            breakOff.also { breakOff = {} }
         }
         earlier()
         return AttemptSink(number = number)
@@ -98,7 +98,7 @@
             if (!progress.isCurrent(number)) return
             reachedServer = progress.isStarted
             progress.stopped()
-            takeBreakOff()
+            breakOff.also { breakOff = {} }
         }
         action()
         observer.attemptFailed(session = this, attempt = number, problem = problem, reachedServer = reachedServer)
@@ -108,14 +108,12 @@
         val action = synchronized(this) {
             if (progress.ended) return false
             progress.ended = true
-            takeBreakOff()
+            breakOff.also { breakOff = {} }
         }
         action()
         return true
     }
 
-    private fun takeBreakOff(): () -> Unit = breakOff.also { breakOff = {} }
-
     private inner class AttemptSink(
         private val number: Int,
     ) : FrameSink {
--- a/forward/src/test/kotlin/org/bulrushtack/forward/stream/EventSplitterTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/stream/EventSplitterTest.kt
@@ -22,7 +22,8 @@
             }
 
             events.map { it.id } shouldBe listOf("1", "2", null)
-            (events.joinToString("") { it.bytes.decodeToString() } + testSubject.takeRest().decodeToString()) shouldBe stream
+            val whole = events.joinToString("") { it.bytes.decodeToString() }
+            whole + testSubject.takeRest().decodeToString() shouldBe stream
         }
     }
 
--- a/standin/src/main/kotlin/org/bulrushtack/standin/platform/PlatformStandIn.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/platform/PlatformStandIn.kt
@@ -5,6 +5,7 @@
 import org.bulrushtack.platform.standin.StoreFaults
 import org.bulrushtack.platform.standin.StoreOptions
 import org.bulrushtack.platform.standin.StoreStandIn
+import org.bulrushtack.platform.standin.StoreTopics
 import org.bulrushtack.standin.ListenOptions
 import org.bulrushtack.standin.StandIn
 import org.bulrushtack.standin.StandInServer
@@ -15,7 +16,7 @@
     options: StoreOptions,
 ) {
     private val store = StoreStandIn(
-        options = options.copy(laggingTopics = setOf(VMS)),
+        options = options.copy(laggingTopics = setOf(StoreTopics.VMS)),
         timer = StandInTimer.create(name = "platform"),
     )
 
@@ -30,21 +31,19 @@
         }
         route("POST", "/control/vms") { exchange ->
             val row = StandInServer.body(exchange) as ObjectNode
-            store.topics.put(topic = VMS, key = row["name"].asText(), value = StandInServer.mapper.writeValueAsBytes(row))
+            val value = StandInServer.mapper.writeValueAsBytes(row)
+            store.topics.put(topic = StoreTopics.VMS, key = row["name"].asText(), value = value)
             respondVms(exchange)
         }
         route("DELETE", "/control/vms/") { exchange ->
-            store.topics.put(topic = VMS, key = exchange.request.path.substringAfterLast('/'), value = ByteArray(0))
+            store.topics.put(topic = StoreTopics.VMS, key = exchange.request.path.substringAfterLast('/'), value = ByteArray(0))
             respondVms(exchange)
         }
     }
 
     private fun respondVms(exchange: HttpExchange) {
         val message = StandInServer.mapper.createObjectNode()
-        message.putArray("vms").addAll(store.topics.values(VMS).map { StandInServer.mapper.readTree(it) })
+        message.putArray("vms").addAll(store.topics.values(StoreTopics.VMS).map { StandInServer.mapper.readTree(it) })
         exchange.respond(StandInServer.json(status = 200, value = message))
     }
 }
-
-/** The topic in which each VM has a record. */
-private const val VMS = "keyed.vms"
