--- a/standin/src/main/kotlin/org/bulrushtack/standin/platform/PlatformStandIn.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/platform/PlatformStandIn.kt
@@ -36,7 +36,8 @@
             respondVms(exchange)
         }
         route("DELETE", "/control/vms/") { exchange ->
-            store.topics.put(topic = StoreTopics.VMS, key = exchange.request.path.substringAfterLast('/'), value = ByteArray(0))
+            val name = exchange.request.path.substringAfterLast('/')
+            store.topics.put(topic = StoreTopics.VMS, key = name, value = ByteArray(0))
             respondVms(exchange)
         }
     }
