Log refusals and plain places with what decided them; log unread daemon records

Cause: an engineer could not tell from the logs why a request got no place, and a failed read of the other daemons' records was passed over in silence.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/EnginePlace.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/EnginePlace.kt
@@ -47,10 +47,24 @@
                 val first = decision.placement.first
                 listener.placed(SendTarget(first.serverId, first.address, decision.placement))
             }
-            decision is PlacementDecision.Refused -> listener.refused(decision.kind, decision.retryAfterMillis)
+            decision is PlacementDecision.Refused -> {
+                log(decision)
+                listener.refused(decision.kind, decision.retryAfterMillis)
+            }
         }
     }
 
+    private fun log(decision: PlacementDecision.Refused) = tools.log.warn(
+        "A request got no place.",
+        LogField("request", request.id),
+        LogField("kind", decision.kind.code),
+        LogField("waited_millis", tools.thread.nowMillis() - request.receivedAtMillis),
+        LogField("retry_after_millis", decision.retryAfterMillis),
+        LogField("usable_servers", tools.state.fleet.usableOf(request.service, tools.thread.nowMillis()).size),
+        LogField("prompt_tokens", request.shape.promptTokens),
+        LogField("version", tools.state.routing?.configuration?.version),
+    )
+
     private fun log(decision: PlacementDecision.Placed) = tools.log.info(
         "A request has a place.",
         LogField("request", request.id),
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/PlainPlace.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/PlainPlace.kt
@@ -3,6 +3,7 @@
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.placement.PlacementOutcome
 import org.bulrushtack.core.route.ServiceProfile
+import org.bulrushtack.forward.log.LogField
 import java.util.concurrent.ScheduledFuture
 
 /** A place on a plain server, which this daemon chooses by its own sends. */
@@ -29,10 +30,13 @@
             chosen != null -> {
                 used = chosen.entry.id
                 tools.plainChoice.sent(chosen.entry.id, nowMillis)
+                log("A request has a place.", chosen.entry.id, nowMillis)
                 listener.placed(SendTarget(chosen.entry.id, chosen.entry.address))
             }
-            nowMillis - order.receivedAtMillis >= order.patience.placeMillis / WAIT_PART ->
+            nowMillis - order.receivedAtMillis >= order.patience.placeMillis / WAIT_PART -> {
+                log("A request got no place.", server = null, nowMillis)
                 listener.refused(ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_MILLIS)
+            }
             else -> retry = tools.thread.after(RETRY_MILLIS) { begin() }
         }
     }
@@ -48,6 +52,16 @@
         tools.plainChoice.ended(id)
         tools.health.note(id = id, outcome = outcome, slowness = null, nowMillis = tools.thread.nowMillis())
     }
+
+    private fun log(sentence: String, server: String?, nowMillis: Long) = tools.log.info(
+        sentence,
+        LogField("request", order.requestId),
+        LogField("server", server),
+        LogField("waited_millis", nowMillis - order.receivedAtMillis),
+        LogField("usable_servers", tools.state.fleet.usableOf(service.name, nowMillis).size),
+        LogField("excluded", excluded.size),
+        LogField("version", tools.state.routing?.configuration?.version),
+    )
 }
 
 /** A server that comes back is found soon, and a call keeps most of its time. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/knowledge/StoreFollower.kt
@@ -38,7 +38,12 @@
     /** Reads the daemons' own records once. */
     fun readDaemons() {
         store.newest(StoreTopic.DAEMONS).thenAcceptAsync(
-            { answer -> answer.onRight { knowledge.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = SOURCE) } },
+            { answer ->
+                answer.fold(
+                    ifLeft = { log.warn("The records of other daemons were not read.", LogField("reason", it.reason)) },
+                    ifRight = { knowledge.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = SOURCE) },
+                )
+            },
             thread.loop,
         )
     }
