Bound body memory, apply changed settings while running, share retry budgets among all known daemons

An empty value from the template stands for the default, since deployments may not state every bound. - Reservations ran out after a constant 3.4 s whatever the deployment's bound: the time comes from the settings now. - Resend budgets were cut by the daemons heard lately when a service was first used. A daemon that is cut off hears none, so 84 cut-off daemons could have used 24 resends each, 2050 where 244 are allowed. They are cut by all daemons ever known now, and shrink when more are learned. - Library log lines with stack traces reached standard error past the log's bounds (seen on the grown dock): they go through the same appender now.

--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -48,6 +48,9 @@
     public fun liveSightings(nowMillis: Long): List<DaemonSighting> =
         sightings.values.filter { nowMillis - it.heardAtMillis < ALIVE_MILLIS }
 
+    /** How many daemons are known of, this one included, whether they were heard of lately or not. */
+    public val knownCount: Int get() = (addresses.values + self.peerAddress).toSet().size
+
     /** Addresses at which a daemon may run that this one has not heard of lately. */
     public fun unheardAddresses(nowMillis: Long): Set<String> =
         addresses.values.toSet() - live(nowMillis).map { it.peerAddress }.toSet() - self.peerAddress
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeLoad.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeLoad.kt
@@ -10,11 +10,12 @@
     seed: Int,
     private val durationMillis: Long = 30_000,
     private val burstMillis: Long = 10_000,
+    private val kinds: List<Kind> = FIRST_SITE,
 ) {
     private val random = Random(seed)
 
     /** Prompts by arrival. A short burst comes first, then a long one, and so on. */
-    fun prompts(): List<FakePrompt> = KINDS.flatMap { arrivals(it) }.sortedBy { it.arrivesAtMillis }
+    fun prompts(): List<FakePrompt> = kinds.flatMap { arrivals(it) }.sortedBy { it.arrivesAtMillis }
 
     private fun arrivals(kind: Kind): List<FakePrompt> {
         val highest = maxOf(kind.inShortBurst, kind.inLongBurst)
@@ -45,7 +46,8 @@
     private fun lognormal(mean: Double, spread: Double): Double =
         exp(ln(mean) - spread * spread / 2 + spread * random.asJavaRandom().nextGaussian())
 
-    private data class Kind(
+    /** One kind of prompt; [inShortBurst] and [inLongBurst] multiply its rate. */
+    data class Kind(
         val name: String,
         val perSecond: Double,
         val inShortBurst: Double,
@@ -59,12 +61,21 @@
         val worth: Double,
     )
 
-    private companion object {
-        const val EVENT_SPREAD = 0.6
-        val KINDS = listOf(
+    companion object {
+        private const val EVENT_SPREAD = 0.6
+
+        /** The prompts of the users' first site, on 18 engines. */
+        val FIRST_SITE = listOf(
             Kind("short", 25.8, 2.4, 0.35, 4_960.0, 0.9, 23_800.0, 33.0, 300, 250, 1.3),
             Kind("medium", 1.31, 0.5, 1.3, 45_000.0, 0.5, 110_000.0, 20.0, 1_500, 600, 4.2),
             Kind("long", 0.793, 0.05, 2.8, 154_000.0, 0.55, 700_000.0, 16.0, 3_000, 1_000, 21.0),
         )
+
+        /** The prompts of the same site after it has grown, on 60 engines; [share] plays a smaller one. */
+        fun grownSite(share: Double = 1.0) = listOf(
+            Kind("short", 67.7 * share, 2.4, 0.35, 4_960.0, 0.9, 23_800.0, 32.0, 300, 250, 1.3),
+            Kind("medium", 4.29 * share, 0.5, 1.3, 45_000.0, 0.5, 110_000.0, 19.0, 1_500, 600, 3.5),
+            Kind("long", 1.41 * share, 0.05, 2.8, 220_000.0, 0.55, 700_000.0, 16.0, 4_000, 1_000, 29.0),
+        )
     }
 }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
@@ -13,6 +13,7 @@
 import org.bulrushtack.daemon.settings.SettingsFile
 import org.bulrushtack.program.ProgramLine
 import org.slf4j.LoggerFactory
+import org.slf4j.bridge.SLF4JBridgeHandler
 import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
@@ -35,6 +36,8 @@
 }
 
 private fun run(settings: DaemonSettings, file: Path) {
+    SLF4JBridgeHandler.removeHandlersForRootLogger()
+    SLF4JBridgeHandler.install()
     val root = LoggerFactory.getLogger("bulrushtack") as Logger
     root.level = Level.toLevel(settings.logLevel)
     val random = SecureRandom()
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpFront.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpFront.kt
@@ -35,6 +35,7 @@
             HttpFault.MALFORMED -> ErrorKind.MALFORMED_REQUEST
             HttpFault.HEADERS_TOO_LARGE -> ErrorKind.HEADERS_TOO_LARGE
             HttpFault.BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
+            HttpFault.NO_MEMORY -> ErrorKind.OVERLOADED
             HttpFault.INCOMPLETE -> ErrorKind.REQUEST_INCOMPLETE
         }
         log.info { "A request was refused: ${kind.code}." }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/life/ForwardingProcess.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/life/ForwardingProcess.kt
@@ -34,7 +34,6 @@
         Runtime.getRuntime().halt(0)
     }
 
-    /** All settings say where to listen or how long to wait from the start on, so a change counts at the next start. */
     @Synchronized
     private fun reload(reason: String) = SettingsFile(file).read().fold(
         ifLeft = { faults ->
@@ -45,9 +44,11 @@
         },
         ifRight = { read ->
             val changed = read is DaemonSettings.Forwarding && read.settings != current
-            if (changed) current = (read as DaemonSettings.Forwarding).settings
-            if (changed || reason != "look") {
-                val fields = listOf(LogField("reason", reason), LogField("changed", changed))
+            if (changed) {
+                current = (read as DaemonSettings.Forwarding).settings
+                daemon.change(current, reason)
+            } else if (reason != "look") {
+                val fields = listOf(LogField("reason", reason), LogField("changed", false))
                 daemon.noteSettings("The settings were read again.", fields)
             }
         },
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
@@ -65,6 +65,20 @@
         unit = "s",
         description = "how long callers may keep a directory answer",
     ),
+    BODY_MEMORY(
+        section = "forward",
+        key = "body-memory-megabytes",
+        default = "24",
+        unit = "MB",
+        description = "the most memory for request bodies; what comes beyond it is refused",
+    ),
+    RESERVATION_FREE(
+        section = "forward",
+        key = "reservation-free-milliseconds",
+        default = "4000",
+        unit = "ms",
+        description = "the longest time that memory may stay reserved on an engine after its last use",
+    ),
     RETRY_RATIO(
         section = "forward",
         key = "retry-ratio",
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReader.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReader.kt
@@ -28,6 +28,8 @@
         retryRatio = check.decimal(ForwardSettingsKey.RETRY_RATIO),
         retrySlack = check.decimal(ForwardSettingsKey.RETRY_SLACK),
         directoryKeepMillis = check.number(ForwardSettingsKey.DIRECTORY_KEEP, KEEP_RANGE) * MILLIS_PER_SECOND,
+        reservationFreeMillis = check.number(ForwardSettingsKey.RESERVATION_FREE, FREE_RANGE),
+        bodyMemoryBytes = check.number(ForwardSettingsKey.BODY_MEMORY, BODY_RANGE) * BYTES_PER_MEGABYTE,
         logLevel = check.choice(ForwardSettingsKey.LOG_LEVEL, LOG_LEVELS),
     )
 }
@@ -35,5 +37,11 @@
 private const val MILLIS_PER_SECOND = 1_000L
 private const val LONGEST_GRACE_SECONDS = 3_600L
 private const val LONGEST_KEEP_SECONDS = 60L
+private const val SHORTEST_FREE_MILLIS = 500L
+private const val LONGEST_FREE_MILLIS = 60_000L
+private const val MOST_BODY_MEGABYTES = 4_096L
+private const val BYTES_PER_MEGABYTE = 1_048_576L
+private val FREE_RANGE = SHORTEST_FREE_MILLIS..LONGEST_FREE_MILLIS
+private val BODY_RANGE = 1L..MOST_BODY_MEGABYTES
 private val GRACE_RANGE = 1L..LONGEST_GRACE_SECONDS
 private val KEEP_RANGE = 1L..LONGEST_KEEP_SECONDS
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SettingsCheck.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SettingsCheck.kt
@@ -36,7 +36,8 @@
 
     /** The value of [key]; [fault] says what is wrong with it, or null. */
     fun checked(key: SettingsKey, fault: (String) -> String?): String {
-        val value = ini.getSection(key.section).getString(key.key) ?: key.default
+        val written = ini.getSection(key.section).getString(key.key)
+        val value = if (written.isNullOrBlank()) key.default ?: written else written
         val text = if (value == null) "is missing: ${key.description}" else fault(value)
         if (text != null) add(key.section, key.key, text)
         return value.orEmpty()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
@@ -17,6 +17,8 @@
  * @property retryRatio the resends to a service that each of its requests allows, all daemons together
  * @property retrySlack the resends that are allowed beyond that
  * @property directoryKeepMillis how long callers may keep a directory answer
+ * @property reservationFreeMillis the longest time that memory may stay reserved on an engine after its last use
+ * @property bodyMemoryBytes the most bytes of request bodies that the daemon holds at the same time
  */
 data class ForwardSettings(
     val name: String,
@@ -32,5 +34,7 @@
     val retryRatio: Double,
     val retrySlack: Double,
     val directoryKeepMillis: Long,
+    val reservationFreeMillis: Long,
+    val bodyMemoryBytes: Long,
     val logLevel: String,
 )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
@@ -2,7 +2,7 @@
 
 /** When a daemon that is shutting down stops taking requests. */
 internal class DrainState(
-    private val graceMillis: Long,
+    private val graceMillis: () -> Long,
 ) {
     private var startedAtMillis: Long? = null
 
@@ -19,9 +19,9 @@
 
     /** Whether the process has to end whatever it still does. */
     fun mustEnd(nowMillis: Long): Boolean =
-        startedAtMillis.let { it != null && nowMillis - it >= graceMillis - MARGIN_MILLIS }
+        startedAtMillis.let { it != null && nowMillis - it >= graceMillis() - MARGIN_MILLIS }
 
-    private val acceptMillis: Long get() = graceMillis * ACCEPT_PERCENT / PERCENT
+    private val acceptMillis: Long get() = graceMillis() * ACCEPT_PERCENT / PERCENT
 }
 
 /** Callers that come later find the answer of the directory that no longer names this daemon. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
@@ -20,6 +20,8 @@
     val plainChoice: PlainServerChoice,
     val health: ServerHealth,
     val budgets: RetryBudgets,
+    val reservations: ReservationOrders,
+    val reservationFreeMillis: () -> Long,
     val thread: ForwardThread,
     val random: Random,
     val metrics: ForwardMetrics,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -43,6 +43,7 @@
             HttpFault.MALFORMED -> ErrorKind.MALFORMED_REQUEST
             HttpFault.HEADERS_TOO_LARGE -> ErrorKind.HEADERS_TOO_LARGE
             HttpFault.BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
+            HttpFault.NO_MEMORY -> ErrorKind.OVERLOADED
             HttpFault.INCOMPLETE -> ErrorKind.REQUEST_INCOMPLETE
         }
         tools.metrics.problem(kind)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
@@ -1,6 +1,8 @@
 package org.bulrushtack.forward.exchange
 
 import org.bulrushtack.core.placement.PlacedPart
+import org.bulrushtack.forward.ForwardThread
+import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.wire.Helper
 import java.util.concurrent.CompletableFuture
@@ -9,13 +11,21 @@
 /**
  * The memory that one send has reserved on several engines: all of it or none, renewed while the send runs. A
  * reservation that this daemon can no longer end runs out by itself.
+ *
+ * @param name tells this send apart from others, also from those of other daemons
+ * @param parts the engines that read parts of the prompt
+ * @param freeMillis the longest time that memory may stay reserved after its last use
  */
 internal class Reservations(
-    private val tools: ExchangeTools,
-    private val requestId: String,
-    private val prefix: String,
+    private val orders: ReservationOrders,
+    private val thread: ForwardThread,
+    private val log: EventLog,
+    private val name: String,
     private val parts: List<PlacedPart>,
+    freeMillis: Long,
 ) {
+    private val holdMillis = freeMillis * HOLD_PERCENT / PERCENT
+    private val renewalMillis = holdMillis * RENEWAL_PERCENT / PERCENT
     private val held = parts.filter { it.ticketTokens > 0 }
     private var renewal: ScheduledFuture<*>? = null
     private var ended = false
@@ -37,7 +47,7 @@
                 if (all) renewLater() else release()
                 if (!ended || !all) onDone(all)
             },
-            tools.thread.loop,
+            thread.loop,
         )
     }
 
@@ -49,15 +59,14 @@
         held.forEach { end(it, tries = RELEASE_TRIES) }
     }
 
-    private fun reserve(part: PlacedPart): CompletableFuture<Boolean> {
-        val order = tools.codec.reservation(part.address, ticketId(part), part.ticketTokens, HOLD_MILLIS)
-        return tools.client.exchange(order.copy(timeoutMillis = ORDER_MILLIS)).thenApply { answer ->
-            val status = answer.fold(ifLeft = { it.reason }, ifRight = { "${it.status}" })
+    private fun reserve(part: PlacedPart): CompletableFuture<Boolean> =
+        orders.reserve(part, ticketId(part), holdMillis).thenApply { answer ->
+            val status = answer.fold(ifLeft = { it.reason }, ifRight = { "$it" })
             val reserved = status == RESERVED
             if (!reserved) {
-                tools.log.info(
+                log.info(
                     "Memory was not reserved.",
-                    LogField("request", requestId),
+                    LogField("request", name),
                     LogField("server", part.serverId),
                     LogField("tokens", part.ticketTokens),
                     LogField("answer", status),
@@ -65,43 +74,42 @@
             }
             reserved
         }
-    }
 
     private fun renewLater() {
         if (ended) return
-        renewal = tools.thread.after(RENEWAL_MILLIS) {
+        renewal = thread.after(renewalMillis) {
             held.forEach { reserve(it) }
             renewLater()
         }
     }
 
     private fun end(part: PlacedPart, tries: Int) {
-        val order = tools.codec.reservationEnd(part.address, ticketId(part)).copy(timeoutMillis = ORDER_MILLIS)
-        tools.client.exchange(order).thenAcceptAsync(
+        orders.end(part, ticketId(part)).thenAcceptAsync(
             { answer ->
                 if (answer.isLeft() && tries > 1) {
                     end(part, tries - 1)
                 } else if (answer.isLeft()) {
-                    tools.log.warn(
+                    log.warn(
                         "A reservation was not ended; it runs out by itself.",
-                        LogField("request", requestId),
+                        LogField("request", name),
                         LogField("server", part.serverId),
                     )
                 }
             },
-            tools.thread.loop,
+            thread.loop,
         )
     }
 
-    private fun ticketId(part: PlacedPart): String = "$prefix-${part.serverId}"
+    private fun ticketId(part: PlacedPart): String = "$name-${part.serverId}"
 }
 
-/**
- * Memory has to be free four seconds after the request that used it has ended, also when the daemon that reserved it
- * died just after a renewal. Two renewals in a row may be lost.
- */
-private const val HOLD_MILLIS = 3_400L
-private const val RENEWAL_MILLIS = 1_000L
-private const val ORDER_MILLIS = 500L
+/** The rest of the time in which memory has to be free is for the way of the last renewal. */
+private const val HOLD_PERCENT = 85L
+
+/** Two renewals in a row may be lost. */
+private const val RENEWAL_PERCENT = 30L
+private const val PERCENT = 100L
+
+/** Each waits for its answer; after as many failures the reservation has nearly run out by itself. */
 private const val RELEASE_TRIES = 3
 private const val RESERVED = "200"
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/RetryBudgets.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/RetryBudgets.kt
@@ -8,11 +8,11 @@
  *
  * @param ratio resends for each request that all daemons together may make
  * @param slack further resends that all daemons together may make
- * @param daemons how many daemons share the slack
+ * @param daemons how many daemons share the slack, whether they can be reached or not
  */
 internal class RetryBudgets(
-    private val ratio: Double,
-    private val slack: Double,
+    private val ratio: () -> Double,
+    private val slack: () -> Double,
     private val daemons: () -> Int,
 ) {
     private val budgets = HashMap<String, RetryBudget>()
@@ -24,8 +24,10 @@
     fun spend(service: String): Boolean = budget(service).spend()
 
     private fun budget(service: String): RetryBudget = budgets.getOrPut(service) {
-        val share = slack * SAFE_SHARE / maxOf(FEWEST_DAEMONS, daemons())
-        RetryBudget(share = ratio * SAFE_SHARE, maximum = maxOf(share, 1.0))
+        RetryBudget(
+            share = { ratio() * SAFE_SHARE },
+            maximum = { maxOf(1.0, slack() * SAFE_SHARE / maxOf(FEWEST_DAEMONS, daemons())) },
+        )
     }
 }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -49,7 +49,14 @@
     }
 
     override fun placed(target: SendTarget) {
-        val reserved = Reservations(tools, order.requestId, prefix = "${order.requestId}-$number", target.helpers)
+        val reserved = Reservations(
+            orders = tools.reservations,
+            thread = tools.thread,
+            log = tools.log,
+            name = "${order.requestId}-$number",
+            parts = target.helpers,
+            freeMillis = tools.reservationFreeMillis(),
+        )
         reservations = reserved
         reserved.reserve { succeeded ->
             when {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/EntryQuestions.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/EntryQuestions.kt
@@ -13,7 +13,7 @@
 internal class EntryQuestions(
     private val state: ForwardState,
     private val codec: EntryCodec,
-    private val keepMillis: Long,
+    private val keepMillis: () -> Long,
     private val clock: MonotonicClock,
 ) {
     /** Names the daemons that are ready. */
@@ -22,7 +22,7 @@
         val others = state.daemons.live(clock.nowMillis()).filter { it.ready && !it.leaving }.map { it.frontAddress }
         val own = if (state.isReady) listOf(state.daemons.self.frontAddress) else emptyList()
         val addresses = (own + others).distinct().shuffled().take(MAXIMUM_ADDRESSES)
-        return if (addresses.isEmpty()) notReady() else codec.addresses(addresses, keepMillis)
+        return if (addresses.isEmpty()) notReady() else codec.addresses(addresses, keepMillis())
     }
 
     /** Says whether this daemon is ready. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup
 import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.core.placement.ColdGuard
 import org.bulrushtack.core.placement.PlacementLedger
 import org.bulrushtack.core.placement.PlainServerChoice
@@ -16,6 +17,7 @@
 import org.bulrushtack.forward.exchange.DrainState
 import org.bulrushtack.forward.exchange.ExchangeTools
 import org.bulrushtack.forward.exchange.ForwardHandler
+import org.bulrushtack.forward.exchange.MemoryOrders
 import org.bulrushtack.forward.exchange.RetryBudgets
 import org.bulrushtack.forward.knowledge.ForwardState
 import org.bulrushtack.forward.knowledge.KnowledgeBase
@@ -27,6 +29,7 @@
 import org.bulrushtack.forward.peer.PeerSync
 import org.bulrushtack.forward.placement.PlaceFinder
 import org.bulrushtack.forward.placement.PlacementBroker
+import org.bulrushtack.http.BodyMemory
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.HttpClient
 import kotlin.random.Random
@@ -39,6 +42,8 @@
     seed: Long,
 ) {
     private val clock: MonotonicClock = SystemMonotonicClock()
+    val settings = LiveSettings(settings)
+    val bodyMemory = BodyMemory(maximumBytes = settings.bodyMemoryBytes)
 
     /** The one network thread. */
     val group: EventLoopGroup = EventLoops.create(threads = 1)
@@ -87,11 +92,11 @@
         thread = thread,
         log = logs.of("life"),
     )
-    val drain = DrainState(graceMillis = settings.graceMillis)
+    val drain = DrainState(graceMillis = { this.settings.current.graceMillis })
     val entry = EntryQuestions(
         state = state,
         codec = platform.entries,
-        keepMillis = settings.directoryKeepMillis,
+        keepMillis = { this.settings.current.directoryKeepMillis },
         clock = clock,
     )
     private val random = Random(seed)
@@ -110,16 +115,31 @@
         plainChoice = PlainServerChoice(health = health, coldGuard = ColdGuard(), random = random),
         health = health,
         budgets = RetryBudgets(
-            ratio = settings.retryRatio,
-            slack = settings.retrySlack,
-            daemons = { daemons.live(clock.nowMillis()).size + 1 },
+            ratio = { this.settings.current.retryRatio },
+            slack = { this.settings.current.retrySlack },
+            daemons = { daemons.knownCount },
         ),
+        reservations = MemoryOrders(codec = platform.exchanges, client = client),
+        reservationFreeMillis = { this.settings.current.reservationFreeMillis },
         thread = thread,
         random = random,
         metrics = metrics,
         log = logs.of("front"),
     )
     val front = ForwardHandler(tools = tools, drain = drain)
+
+    /** Registers what is read when the measures are asked for. */
+    fun registerGauges() {
+        metrics.gauge("bulrushtack.forward.active") { front.activeCount }
+        metrics.gauge("bulrushtack.forward.body.bytes") { bodyMemory.heldBytes }
+        metrics.gauge("bulrushtack.forward.waiting") { scheduler.waiting }
+        metrics.gauge("bulrushtack.forward.servers") { state.fleet.size }
+        metrics.gauge("bulrushtack.forward.configuration.version") { state.routing?.configuration?.version ?: -1 }
+        StoreTopic.entries.forEach { topic ->
+            val name = "bulrushtack.forward.knowledge.age.${topic.name.lowercase()}"
+            metrics.gauge(name) { knowledge.ageMillis(topic) }
+        }
+    }
 }
 
 /** Far above a round trip; a connection that takes longer meets a full queue or a dead machine. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
@@ -3,7 +3,6 @@
 import io.grpc.Server
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
-import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.forward.ForwardSettings
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpHandler
@@ -32,14 +31,15 @@
 
     /** Opens the ports and begins to read the store. */
     fun start() {
-        gauges()
+        parts.registerGauges()
         listen(settings.frontListen, parts.front)
         listen(settings.readinessListen, QuestionHandler(parts.entry::readiness))
         listen(settings.directoryListen, QuestionHandler(parts.entry::addresses))
+        val measures = { HttpMessageResponse(OK, TEXT, parts.metrics.scrape().toByteArray()) }
         listen(settings.metricsListen, QuestionHandler { measures() })
         peerServer = parts.coordination.start(parts.group, settings.peerListen)
         parts.thread.loop.execute {
-            settings.seeds.forEach { state.daemons.learn(label = it, peerAddress = "$it:${settings.peerListen.port}") }
+            learnSeeds(settings)
             parts.registration.start()
         }
         every(TICK_MILLIS) { tick() }
@@ -68,6 +68,18 @@
     /** Writes a line about the settings file. */
     fun noteSettings(sentence: String, fields: List<LogField>) = log.info(sentence, fields)
 
+    /** Takes changed settings over; those that say where to listen count at the next start. */
+    fun change(changed: ForwardSettings, reason: String) = parts.thread.loop.execute {
+        val needsStart = parts.settings.change(changed)
+        learnSeeds(changed)
+        log.info(
+            "The settings were read again.",
+            LogField("reason", reason),
+            LogField("changed", true),
+            LogField("needs_start", needsStart),
+        )
+    }
+
     /** Whether the daemon has ended, after waiting for it for up to [millis]. */
     fun awaitEnd(millis: Long): Boolean = ended.await(millis, TimeUnit.MILLISECONDS)
 
@@ -90,6 +102,10 @@
         }
     }
 
+    private fun learnSeeds(from: ForwardSettings) = from.seeds.forEach {
+        state.daemons.learn(label = it, peerAddress = "$it:${settings.peerListen.port}")
+    }
+
     private fun every(millis: Long, action: () -> Unit) {
         parts.thread.loop.scheduleAtFixedRate(action, 0, millis, TimeUnit.MILLISECONDS)
     }
@@ -105,29 +121,15 @@
     }
 
     private fun limits(): HttpLimits {
-        val limits = state.routing?.configuration?.limits ?: return HttpLimits()
+        val limits = state.routing?.configuration?.limits ?: return HttpLimits(memory = parts.bodyMemory)
         return HttpLimits(
             bodyBytes = limits.bodyBytes.coerceAtMost(Int.MAX_VALUE.toLong()).toInt(),
             headerBytes = limits.headerBytes,
             requestMillis = limits.idleMillis,
             idleMillis = limits.idleMillis,
+            memory = parts.bodyMemory,
         )
     }
-
-    private fun measures() =
-        HttpMessageResponse(status = OK, contentType = TEXT, body = parts.metrics.scrape().toByteArray())
-
-    private fun gauges() {
-        val metrics = parts.metrics
-        metrics.gauge("bulrushtack.forward.active") { parts.front.activeCount }
-        metrics.gauge("bulrushtack.forward.waiting") { parts.scheduler.waiting }
-        metrics.gauge("bulrushtack.forward.servers") { state.fleet.size }
-        metrics.gauge("bulrushtack.forward.configuration.version") { state.routing?.configuration?.version ?: -1 }
-        StoreTopic.entries.forEach { topic ->
-            val name = "bulrushtack.forward.knowledge.age.${topic.name.lowercase()}"
-            metrics.gauge(name) { parts.knowledge.ageMillis(topic) }
-        }
-    }
 }
 
 private fun self(settings: ForwardSettings, incarnation: String) = DaemonInfo(
--- /dev/null
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeEngineMemory.kt
@@ -0,0 +1,62 @@
+package org.bulrushtack.forward.testing
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.bulrushtack.core.placement.PlacedPart
+import org.bulrushtack.forward.exchange.ReservationOrders
+import org.bulrushtack.http.HttpFailure
+import java.util.concurrent.CompletableFuture
+
+/**
+ * Engines that keep memory until its reservation is ended or runs out. Each order takes [delayMillis] there and as long
+ * back; [isLost] says which orders never arrive, and [isFull] which engines refuse.
+ */
+internal class FakeEngineMemory(
+    private val time: FakeTime,
+    private val delayMillis: Long = 2,
+    private val isLost: (ticketId: String, nowMillis: Long) -> Boolean = { _, _ -> false },
+    private val isFull: (serverId: String) -> Boolean = { false },
+) : ReservationOrders {
+    private val untilMillis = HashMap<String, Long>()
+
+    /** Whether the daemon's orders leave its VM. */
+    var connected = true
+
+    /** How many reservations there are now. */
+    val reserved: Int get() = untilMillis.values.count { it > time.nowMillis() }
+
+    override fun reserve(part: PlacedPart, ticketId: String, holdMillis: Long) = order(ticketId) {
+        if (isFull(part.serverId)) {
+            REFUSED
+        } else {
+            untilMillis[ticketId] = time.nowMillis() + holdMillis
+            DONE
+        }
+    }
+
+    override fun end(part: PlacedPart, ticketId: String) = order(ticketId) {
+        untilMillis.remove(ticketId)
+        DONE
+    }
+
+    private fun order(ticketId: String, act: () -> Int): CompletableFuture<Either<HttpFailure, Int>> {
+        val answer = CompletableFuture<Either<HttpFailure, Int>>()
+        val lost = !connected || isLost(ticketId, time.nowMillis())
+        if (lost) {
+            time.thread.after(TIMEOUT_MILLIS) { answer.complete(HttpFailure(sent = true, reason = "silent").left()) }
+        } else {
+            time.thread.after(delayMillis) {
+                val status = act()
+                time.thread.after(delayMillis) { answer.complete(status.right()) }
+            }
+        }
+        return answer
+    }
+
+    private companion object {
+        const val DONE = 200
+        const val REFUSED = 409
+        const val TIMEOUT_MILLIS = 500L
+    }
+}
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpFault.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpFault.kt
@@ -1,4 +1,12 @@
 package org.bulrushtack.http
 
-/** A request that never became whole. */
-public enum class HttpFault { MALFORMED, HEADERS_TOO_LARGE, BODY_TOO_LARGE, INCOMPLETE }
+/** Why a request never became whole. */
+public enum class HttpFault {
+    MALFORMED,
+    HEADERS_TOO_LARGE,
+    BODY_TOO_LARGE,
+
+    /** The process holds as many bodies as it can. */
+    NO_MEMORY,
+    INCOMPLETE,
+}
--- a/http/src/main/kotlin/org/bulrushtack/http/RequestCollector.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestCollector.kt
@@ -12,13 +12,14 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
 
-/** Puts the parts of one request together, within limits. */
+/** Puts the parts of one request together, within limits. The memory for a body is held until [reset]. */
 internal class RequestCollector(
     private val limits: HttpLimits,
     private val allocator: ByteBufAllocator,
 ) {
     private var head: HttpRequest? = null
     private var body: CompositeByteBuf? = null
+    private var takenBytes = 0
 
     /** Whether a request has begun and isn't whole. */
     val isBegun: Boolean get() = head != null
@@ -27,16 +28,23 @@
     fun offer(message: HttpObject): Progress {
         val cause = message.decoderResult().cause()
         if (cause != null) return Progress.Faulty(faultOf(cause))
-        val tooLarge = (message is HttpRequest && !begin(message)) || (message is HttpContent && !add(message))
+        val begun = if (message is HttpRequest) begin(message) else null
+        val fault = begun ?: if (message is HttpContent) add(message) else null
         return when {
-            tooLarge -> Progress.Faulty(HttpFault.BODY_TOO_LARGE)
+            fault != null -> Progress.Faulty(fault)
             message is LastHttpContent -> complete()
             else -> Progress.Partial
         }
     }
 
-    /** Forgets what came so far. */
+    /** Forgets the request, whole or not. */
     fun reset() {
+        forgetParts()
+        limits.memory.giveBack(takenBytes)
+        takenBytes = 0
+    }
+
+    private fun forgetParts() {
         head = null
         body?.release()
         body = null
@@ -47,23 +55,30 @@
         return if (tooLarge) HttpFault.HEADERS_TOO_LARGE else HttpFault.MALFORMED
     }
 
-    private fun begin(request: HttpRequest): Boolean {
+    private fun begin(request: HttpRequest): HttpFault? {
         head = request
         body = allocator.compositeBuffer(MAXIMUM_PARTS)
-        return HttpUtil.getContentLength(request, 0L) <= limits.bodyBytes
+        return HttpFault.BODY_TOO_LARGE.takeIf { HttpUtil.getContentLength(request, 0L) > limits.bodyBytes }
     }
 
-    private fun add(content: HttpContent): Boolean {
-        val collected = body ?: return true
-        val fits = collected.readableBytes() + content.content().readableBytes() <= limits.bodyBytes
-        if (fits) collected.addComponent(true, content.content().retain())
-        return fits
+    private fun add(content: HttpContent): HttpFault? {
+        val collected = body ?: return null
+        val bytes = content.content().readableBytes()
+        return when {
+            collected.readableBytes() + bytes > limits.bodyBytes -> HttpFault.BODY_TOO_LARGE
+            !limits.memory.take(bytes) -> HttpFault.NO_MEMORY
+            else -> {
+                takenBytes += bytes
+                collected.addComponent(true, content.content().retain())
+                null
+            }
+        }
     }
 
     private fun complete(): Progress {
         val request = head ?: return Progress.Partial
         val bytes = body?.let { ByteBufUtil.getBytes(it) } ?: ByteArray(0)
-        reset()
+        forgetParts()
         val target = QueryStringDecoder(request.uri())
         val headers = request.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
         val message = HttpMessageRequest(
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -74,6 +74,7 @@
 
     private fun ended(context: ChannelHandlerContext) {
         exchange = null
+        collector?.reset()
         timer.start(context = context, millis = limits.idleMillis)
         stash.drain(channel = context.channel()) { message ->
             take(context = context, message = message)
