--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
@@ -9,6 +9,7 @@
  * @property rank the offset of its record in the platform's store, or null while it has none
  * @property ready whether it serves callers
  * @property leaving whether it is shutting down
+ * @property revision grows with each change that an incarnation makes here
  */
 public data class DaemonInfo(
     val name: String,
@@ -19,4 +20,5 @@
     val rank: Long?,
     val ready: Boolean,
     val leaving: Boolean,
+    val revision: Long = 0,
 )
--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -13,14 +13,26 @@
 
     /** This daemon as it describes itself to others. */
     public var self: DaemonInfo = self
+        set(value) {
+            field = value.copy(revision = field.revision + 1)
+        }
 
     /** Notes that [daemon] spoke at [atMillis]; [direct] when it was to this daemon. */
     public fun heard(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
         if (daemon.name == self.name) return
         addresses[daemon.name] = daemon.peerAddress
         if (direct) suspectedAtMillis.remove(daemon.peerAddress)
+        val spokeAtMillis = if (direct) atMillis else null
         val known = sightings[daemon.name]
-        if (known == null || known.heardAtMillis < atMillis) sightings[daemon.name] = DaemonSighting(daemon, atMillis)
+        val news = DaemonSighting(daemon = daemon, heardAtMillis = atMillis, spokeAtMillis = spokeAtMillis)
+        sightings[daemon.name] = known?.with(news) ?: news
+    }
+
+    /** Notes that the daemon that had vouched for [name] no longer does; it counts as silent unless it spoke here. */
+    public fun unheard(name: String, nowMillis: Long) {
+        val known = sightings[name] ?: return
+        val heardAtMillis = known.spokeAtMillis ?: (nowMillis - ALIVE_MILLIS)
+        sightings[name] = known.copy(heardAtMillis = minOf(known.heardAtMillis, heardAtMillis))
     }
 
     /** Notes a daemon that is only known by its address; [label] tells it apart from others. */
@@ -34,9 +46,12 @@
     }
 
     /** The daemons in the order in which they answer for all, whether ready or not. */
-    public fun ranked(nowMillis: Long): List<DaemonInfo> = (live(nowMillis) + self)
-        .filter { it.rank != null && !it.leaving && !isSuspected(it.peerAddress, nowMillis) }
-        .sortedBy { it.rank }
+    public fun ranked(nowMillis: Long): List<DaemonInfo> {
+        val suspected = suspectedAtMillis.filterValues { nowMillis - it < SUSPECT_MILLIS }.keys
+        return (live(nowMillis) + self)
+            .filter { it.rank != null && !it.leaving && it.peerAddress !in suspected }
+            .sortedBy { it.rank }
+    }
 
     /** The daemons that may place work, the one to ask first at the head. */
     public fun placers(nowMillis: Long): List<DaemonInfo> = ranked(nowMillis).filter { it.ready }
@@ -62,9 +77,6 @@
         suspectedAtMillis.values.removeIf { nowMillis - it >= SUSPECT_MILLIS }
         return silent
     }
-
-    private fun isSuspected(peerAddress: String, nowMillis: Long): Boolean =
-        suspectedAtMillis[peerAddress].let { it != null && nowMillis - it < SUSPECT_MILLIS }
 }
 
 /** Four syncs, of which one may be lost; callers are told of a dead daemon for this long and while the news spreads. */
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -15,21 +15,30 @@
     private val budgetMillis = (request.objectiveAtMillis - nowMillis) * IN_TIME_SHARE
 
     /**
-     * The fewest engines that are in time, or, when it is too late for that however long it waits, those that are
-     * soonest.
+     * The fewest engines that are in time. When it is too late for that however long it waits, those that are soonest,
+     * as long as they are about free: a request that is late anyway should not make others late.
      */
     fun find(): Placement? {
         val options = PART_COUNTS.asSequence()
             .filter { it == 1 || wholeReadMillis / it >= SHORTEST_PART_MILLIS }
             .mapNotNull { option(it) }
         val inTime = options.firstOrNull { it.firstEventMillis <= budgetMillis }
-        return inTime ?: options.takeIf { isHopeless() }?.minByOrNull { it.firstEventMillis }
+        return inTime ?: if (budgetMillis < fastestMillis()) late(options) else null
     }
 
-    private fun isHopeless(): Boolean {
+    private fun late(options: Sequence<Placement>): Placement? {
+        val soonest = options.minByOrNull { it.firstEventMillis } ?: return null
+        val objectiveMillis = request.objectiveAtMillis - request.receivedAtMillis
+        val spareMillis = maxOf(objectiveMillis * LATE_SHARE, fastestMillis() * FASTEST_FACTOR)
+        val lastChance = nowMillis >= request.giveUpAtMillis - LAST_CHANCE_MILLIS
+        return soonest.takeIf { lastChance || it.firstEventMillis <= spareMillis }
+    }
+
+    /** The time to the first event if as many engines as can help were free. */
+    private fun fastestMillis(): Double {
         val engines = minOf(loads.size, PART_COUNTS.last())
         val mostParts = (wholeReadMillis / SHORTEST_PART_MILLIS).toInt().coerceIn(1, maxOf(1, engines))
-        return budgetMillis < wholeReadMillis / mostParts + profile.stride * profile.stepMillis
+        return wholeReadMillis / mostParts + profile.stride * profile.stepMillis
     }
 
     private fun option(parts: Int): Placement? {
@@ -98,7 +107,16 @@
 private const val SHORT_READ_MILLIS = 120.0
 
 /** Room for the errors of the prediction. */
-private const val IN_TIME_SHARE = 0.85
+private const val IN_TIME_SHARE = 0.95
+
+/** A late request takes engines that would give it its first event within this share of its objective. */
+private const val LATE_SHARE = 0.5
+
+/** The longest prompts miss that share even on free engines; theirs may be this much slower than free ones. */
+private const val FASTEST_FACTOR = 1.25
+
+/** Some reviews of what waits before a request is given up. */
+private const val LAST_CHANCE_MILLIS = 100L
 
 /** Costs in milliseconds of the first event that placement accepts to avoid something. */
 private const val MIXED_COST_MILLIS = 150.0
--- a/core/src/test/kotlin/org/bulrushtack/core/daemon/DaemonTableTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/daemon/DaemonTableTest.kt
@@ -66,4 +66,49 @@
 
         testSubject.live(nowMillis = 1_100).single().ready shouldBe true
     }
+
+    @Test
+    fun `a change that a daemon made later counts, whichever way it came`() {
+        val testSubject = table()
+        testSubject.heard(daemon("vm-2", rank = 2, leaving = true).copy(revision = 4), atMillis = 100, direct = true)
+
+        testSubject.heard(daemon("vm-2", rank = 2).copy(revision = 3), atMillis = 200, direct = false)
+
+        testSubject.live(nowMillis = 300).single().leaving shouldBe true
+    }
+
+    @Test
+    fun `a daemon that nobody vouches for any more is silent at once, unless it spoke here`() {
+        val testSubject = table()
+        testSubject.heard(daemon("vm-2", rank = 2), atMillis = 1_000, direct = false)
+        testSubject.heard(daemon("vm-3", rank = 3), atMillis = 900, direct = true)
+        testSubject.heard(daemon("vm-3", rank = 3), atMillis = 1_000, direct = false)
+
+        testSubject.unheard("vm-2", nowMillis = 1_100)
+        testSubject.unheard("vm-3", nowMillis = 1_100)
+
+        testSubject.live(nowMillis = 1_100).map { it.name } shouldBe listOf("vm-3")
+    }
+
+    @Test
+    fun `every change that a daemon makes of itself has its revision`() {
+        val testSubject = table()
+
+        testSubject.self = testSubject.self.copy(ready = false)
+        testSubject.self = testSubject.self.copy(leaving = true)
+
+        testSubject.self.revision shouldBe 2
+    }
+
+    @Test
+    fun `daemons that are only known by their address are counted`() {
+        val testSubject = table()
+
+        testSubject.learn("10.0.0.1", "vm-1:7340")
+        testSubject.learn("vm-1", "vm-1:7340")
+        testSubject.heard(daemon("vm-2", rank = 2), atMillis = 0, direct = true)
+        testSubject.expire(nowMillis = 60_000)
+
+        testSubject.knownCount shouldBe 3
+    }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/Registration.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/Registration.kt
@@ -7,7 +7,7 @@
 import org.bulrushtack.forward.knowledge.StoreFollower
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
-import org.bulrushtack.forward.peer.CoordinationMessages
+import org.bulrushtack.forward.peer.DaemonMessages
 
 /** Writes this daemon's record into the store, which gives it its rank, and then reads those of the others. */
 internal class Registration(
@@ -23,7 +23,7 @@
     fun start() {
         tries += 1
         val self = daemons.self
-        val value = CoordinationMessages.toWire(self, ageMillis = 0).toByteArray()
+        val value = DaemonMessages.toWire(self, ageMillis = 0).toByteArray()
         store.put(topic = StoreTopic.DAEMONS, key = self.name, value = value).thenAcceptAsync(
             { answer -> answer.fold(ifLeft = { again(it.reason) }, ifRight = { registered(it) }) },
             thread.loop,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationMessages.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationMessages.kt
@@ -1,7 +1,5 @@
 package org.bulrushtack.forward.peer
 
-import com.google.protobuf.ByteString
-import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.knowledge.RecordBatch
 import org.bulrushtack.core.knowledge.StoreRecord
@@ -9,7 +7,6 @@
 import org.bulrushtack.core.placement.PlacedPart
 import org.bulrushtack.core.placement.Placement
 import org.bulrushtack.core.placement.PlacementDecision
-import org.bulrushtack.protocol.DaemonRecord
 import org.bulrushtack.protocol.PlacePart
 import org.bulrushtack.protocol.PlaceRefused
 import org.bulrushtack.protocol.PlaceReply
@@ -20,29 +17,6 @@
 
 /** Turns the messages between forwarding daemons into the daemon's own types and back. */
 internal object CoordinationMessages {
-    fun toWire(daemon: DaemonInfo, ageMillis: Long): DaemonRecord = DaemonRecord.newBuilder()
-        .setName(daemon.name)
-        .setIncarnation(daemon.incarnation)
-        .setDataCentre(daemon.dataCentre)
-        .setPeerAddress(daemon.peerAddress)
-        .setFrontAddress(daemon.frontAddress)
-        .setRank(daemon.rank ?: NO_RANK)
-        .setReady(daemon.ready)
-        .setLeaving(daemon.leaving)
-        .setAgeMillis(ageMillis)
-        .build()
-
-    fun fromWire(record: DaemonRecord): DaemonInfo = DaemonInfo(
-        name = record.name,
-        incarnation = record.incarnation,
-        dataCentre = record.dataCentre,
-        peerAddress = record.peerAddress,
-        frontAddress = record.frontAddress,
-        rank = record.rank.takeIf { it != NO_RANK },
-        ready = record.ready,
-        leaving = record.leaving,
-    )
-
     fun toWire(topic: StoreTopic, batch: RecordBatch, ageMillis: Long): TopicBatch = TopicBatch.newBuilder()
         .setTopic(topic.name)
         .setComplete(batch.complete)
@@ -53,8 +27,7 @@
 
     fun fromWire(batch: TopicBatch): RecordBatch = RecordBatch(
         records = batch.recordsList.map { record ->
-            val value = if (record.dropped) null else record.value.toByteArray()
-            StoreRecord(key = record.key, offset = record.offset, value = value)
+            StoreRecord(key = record.key, offset = record.offset, value = CompressedValues.value(record))
         },
         complete = batch.complete,
         endOffset = batch.endOffset,
@@ -106,8 +79,6 @@
         .setKey(record.key)
         .setOffset(record.offset)
         .setDropped(record.value == null)
-        .setValue(record.value?.let { ByteString.copyFrom(it) } ?: ByteString.EMPTY)
+        .also { CompressedValues.put(it, record) }
         .build()
 }
-
-private const val NO_RANK = -1L
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
@@ -0,0 +1,43 @@
+package org.bulrushtack.forward.peer
+
+import org.bulrushtack.core.daemon.DaemonChange
+import org.bulrushtack.core.daemon.DaemonInfo
+import org.bulrushtack.protocol.DaemonRecord
+import org.bulrushtack.protocol.SyncReply
+
+/** Turns what daemons say of themselves and of one another into the daemon's own types and back. */
+internal object DaemonMessages {
+    fun toWire(daemon: DaemonInfo, ageMillis: Long): DaemonRecord = DaemonRecord.newBuilder()
+        .setName(daemon.name)
+        .setIncarnation(daemon.incarnation)
+        .setDataCentre(daemon.dataCentre)
+        .setPeerAddress(daemon.peerAddress)
+        .setFrontAddress(daemon.frontAddress)
+        .setRank(daemon.rank ?: NO_RANK)
+        .setReady(daemon.ready)
+        .setLeaving(daemon.leaving)
+        .setAgeMillis(ageMillis)
+        .setRevision(daemon.revision)
+        .build()
+
+    fun fromWire(record: DaemonRecord): DaemonInfo = DaemonInfo(
+        name = record.name,
+        incarnation = record.incarnation,
+        dataCentre = record.dataCentre,
+        peerAddress = record.peerAddress,
+        frontAddress = record.frontAddress,
+        rank = record.rank.takeIf { it != NO_RANK },
+        ready = record.ready,
+        leaving = record.leaving,
+        revision = record.revision,
+    )
+
+    fun change(reply: SyncReply): DaemonChange = DaemonChange(
+        version = reply.viewVersion,
+        complete = reply.viewComplete,
+        daemons = reply.daemonsList.map { fromWire(it) },
+        gone = reply.goneList.toSet(),
+    )
+}
+
+private const val NO_RANK = -1L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.peer
 
+import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.knowledge.RecordBatch
 import org.bulrushtack.core.knowledge.StoreTopic
@@ -28,6 +29,7 @@
 ) {
     private val probes = ProbeSchedule()
     private val inFlight = HashSet<String>()
+    private val views = PeerViews(daemons)
 
     /** Speaks with the daemons that it is due to speak with. */
     fun tick() {
@@ -48,10 +50,8 @@
         request.daemonsList.forEach { hear(nowMillis = nowMillis, record = it, direct = false) }
         val residents = request.residentsList.map { PlacementMessages.fromWire(it, request.sender.name, nowMillis) }
         broker.reconcile(taker = request.sender.name, account = residents)
-        val reply = SyncReply.newBuilder().setSender(CoordinationMessages.toWire(daemons.self, ageMillis = 0))
-        daemons.liveSightings(nowMillis).filter { it.daemon.name != request.sender.name }.forEach { sighting ->
-            reply.addDaemons(CoordinationMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
-        }
+        val reply = SyncReply.newBuilder().setSender(DaemonMessages.toWire(daemons.self, ageMillis = 0))
+        views.addTo(reply, request, nowMillis)
         request.positionsList.forEach { position -> addBatch(reply, position) }
         return reply.build()
     }
@@ -69,17 +69,19 @@
 
     private fun ask(address: String, nowMillis: Long) {
         inFlight.add(address)
-        connections.unary(address, CoordinationMethods.SYNC, request(nowMillis), TIMEOUT_MILLIS).whenCompleteAsync(
+        val request = request(address, nowMillis)
+        connections.unary(address, CoordinationMethods.SYNC, request, TIMEOUT_MILLIS).whenCompleteAsync(
             { reply, failure ->
                 inFlight.remove(address)
-                if (failure == null) take(reply, nowMillis) else failed(address, failure)
+                if (failure == null) take(address, reply, nowMillis) else failed(address, failure)
             },
             thread.loop,
         )
     }
 
-    private fun request(nowMillis: Long): SyncRequest {
-        val request = SyncRequest.newBuilder().setSender(CoordinationMessages.toWire(daemons.self, ageMillis = 0))
+    private fun request(address: String, nowMillis: Long): SyncRequest {
+        val request = SyncRequest.newBuilder().setSender(DaemonMessages.toWire(daemons.self, ageMillis = 0))
+        views.addTo(request, address)
         StoreTopic.entries.forEach { topic ->
             request.addPositions(
                 TopicPosition.newBuilder().setTopic(topic.name).setEndOffset(knowledge.endOffset(topic)),
@@ -87,18 +89,18 @@
         }
         if (daemons.ranked(nowMillis).getOrNull(1)?.name == daemons.self.name) {
             daemons.liveSightings(nowMillis).forEach { sighting ->
-                request.addDaemons(CoordinationMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
+                request.addDaemons(DaemonMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
             }
         }
         broker.account.residents.forEach { request.addResidents(PlacementMessages.toWire(it, nowMillis)) }
         return request.build()
     }
 
-    private fun take(reply: SyncReply, askedAtMillis: Long) {
+    private fun take(address: String, reply: SyncReply, askedAtMillis: Long) {
         val nowMillis = thread.nowMillis()
         hear(nowMillis = nowMillis, record = reply.sender, direct = true)
         probes.answered(reply.sender.peerAddress)
-        reply.daemonsList.forEach { hear(nowMillis = askedAtMillis, record = it, direct = false) }
+        views.take(address, reply, askedAtMillis).forEach { hear(it, atMillis = askedAtMillis, direct = false) }
         reply.batchesList.forEach { batch ->
             val topic = StoreTopic.entries.firstOrNull { it.name == batch.topic }
             if (topic != null) {
@@ -112,10 +114,12 @@
         }
     }
 
-    private fun hear(nowMillis: Long, record: DaemonRecord, direct: Boolean) {
-        val daemon = CoordinationMessages.fromWire(record)
-        val isNew = daemon.name != daemons.self.name && daemons.live(nowMillis).none { it.name == daemon.name }
-        daemons.heard(daemon = daemon, atMillis = nowMillis - record.ageMillis, direct = direct)
+    private fun hear(nowMillis: Long, record: DaemonRecord, direct: Boolean) =
+        hear(DaemonMessages.fromWire(record), atMillis = nowMillis - record.ageMillis, direct = direct)
+
+    private fun hear(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
+        val isNew = daemon.name != daemons.self.name && daemons.live(atMillis).none { it.name == daemon.name }
+        daemons.heard(daemon = daemon, atMillis = atMillis, direct = direct)
         if (isNew) {
             log.info(
                 "A daemon is live.",
--- /dev/null
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/CompressedValuesTest.kt
@@ -0,0 +1,42 @@
+package org.bulrushtack.forward.peer
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.knowledge.RecordBatch
+import org.bulrushtack.core.knowledge.StoreRecord
+import org.bulrushtack.core.knowledge.StoreTopic
+
+/** The pattern: a configuration grows by a thousand routes, and one daemon hands it to all others. */
+class CompressedValuesTest : AnnotationSpec() {
+    private fun configuration(routes: Int) =
+        (1..routes).joinToString(",") { """{"name":"route-$it","path_prefix":"/route-$it/","timeout_ms":10000}""" }
+
+    private fun sent(vararg records: StoreRecord) = CoordinationMessages.toWire(
+        topic = StoreTopic.OPERATOR,
+        batch = RecordBatch(records = records.toList(), complete = true, endOffset = 9),
+        ageMillis = 0,
+    )
+
+    @Test
+    fun `a large value arrives as it was, in a tenth of its bytes`() {
+        val value = configuration(routes = 1_300).toByteArray()
+
+        val message = sent(StoreRecord(key = "config", offset = 3, value = value))
+
+        CoordinationMessages.fromWire(message).records.single().value shouldBe value
+        message.serializedSize shouldBeLessThan value.size / 10
+    }
+
+    @Test
+    fun `small values and dropped keys arrive as they were`() {
+        val message = sent(
+            StoreRecord(key = "a", offset = 1, value = "short".toByteArray()),
+            StoreRecord(key = "b", offset = 2, value = null),
+            StoreRecord(key = "c", offset = 3, value = ByteArray(0)),
+        )
+
+        CoordinationMessages.fromWire(message).records.map { it.value?.decodeToString() } shouldBe
+            listOf("short", null, "")
+    }
+}
--- a/protocol/src/main/java/org/bulrushtack/protocol/CoordinationOuterClass.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/CoordinationOuterClass.java
@@ -100,66 +100,70 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\033bulrushtack.coordi" +
-      "nation.v1\"\265\001\n\014DaemonRecord\022\014\n\004name\030\001 \001(\t" +
+      "nation.v1\"\307\001\n\014DaemonRecord\022\014\n\004name\030\001 \001(\t" +
       "\022\023\n\013incarnation\030\002 \001(\t\022\023\n\013data_centre\030\003 \001" +
       "(\t\022\024\n\014peer_address\030\004 \001(\t\022\025\n\rfront_addres" +
       "s\030\005 \001(\t\022\014\n\004rank\030\006 \001(\003\022\r\n\005ready\030\007 \001(\010\022\017\n\007" +
-      "leaving\030\010 \001(\010\022\022\n\nage_millis\030\t \001(\003\"\267\001\n\016Re" +
-      "sidentRecord\022\024\n\014placement_id\030\001 \001(\t\022\021\n\tse" +
-      "rver_id\030\002 \001(\t\022\016\n\006writes\030\003 \001(\010\022\025\n\rmemory_" +
-      "tokens\030\004 \001(\003\022\026\n\016context_tokens\030\005 \001(\003\022\023\n\013" +
-      "read_millis\030\006 \001(\001\022\024\n\014pause_millis\030\007 \001(\003\022" +
-      "\022\n\nage_millis\030\010 \001(\003\"2\n\rTopicPosition\022\r\n\005" +
-      "topic\030\001 \001(\t\022\022\n\nend_offset\030\002 \001(\003\"J\n\013Topic" +
-      "Record\022\013\n\003key\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\017\n\007d" +
-      "ropped\030\003 \001(\010\022\r\n\005value\030\004 \001(\014\"\220\001\n\nTopicBat" +
-      "ch\022\r\n\005topic\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010\022\022\n\ne" +
-      "nd_offset\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003\0229\n\007r" +
-      "ecords\030\005 \003(\0132(.bulrushtack.coordination." +
-      "v1.TopicRecord\"\203\002\n\013SyncRequest\0229\n\006sender" +
-      "\030\001 \001(\0132).bulrushtack.coordination.v1.Dae" +
-      "monRecord\022=\n\tpositions\030\002 \003(\0132*.bulrushta" +
-      "ck.coordination.v1.TopicPosition\022>\n\tresi" +
-      "dents\030\003 \003(\0132+.bulrushtack.coordination.v" +
-      "1.ResidentRecord\022:\n\007daemons\030\004 \003(\0132).bulr" +
-      "ushtack.coordination.v1.DaemonRecord\"\274\001\n" +
-      "\tSyncReply\0229\n\006sender\030\001 \001(\0132).bulrushtack" +
-      ".coordination.v1.DaemonRecord\022:\n\007daemons" +
-      "\030\002 \003(\0132).bulrushtack.coordination.v1.Dae" +
-      "monRecord\0228\n\007batches\030\003 \003(\0132\'.bulrushtack" +
-      ".coordination.v1.TopicBatch\"\245\002\n\014PlaceReq" +
-      "uest\022\n\n\002id\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\017\n\007servi" +
-      "ce\030\003 \001(\t\022\023\n\013data_centre\030\004 \001(\t\022\025\n\rprompt_" +
-      "tokens\030\005 \001(\003\022\025\n\ranswer_tokens\030\006 \001(\003\022\035\n\025m" +
-      "aximum_answer_tokens\030\007 \001(\003\022\024\n\014pause_mill" +
-      "is\030\010 \001(\003\022\020\n\010priority\030\t \001(\005\022\025\n\rwaited_mil" +
-      "lis\030\n \001(\003\022\033\n\023objective_in_millis\030\013 \001(\003\022\031" +
-      "\n\021give_up_in_millis\030\014 \001(\003\022\020\n\010excluded\030\r " +
-      "\003(\t\"F\n\tPlacePart\022\021\n\tserver_id\030\001 \001(\t\022\017\n\007a" +
-      "ddress\030\002 \001(\t\022\025\n\rticket_tokens\030\003 \001(\003\"\016\n\014P" +
-      "laceWaiting\"\253\001\n\006Placed\0225\n\005first\030\001 \001(\0132&." +
-      "bulrushtack.coordination.v1.PlacePart\0227\n" +
-      "\007helpers\030\002 \003(\0132&.bulrushtack.coordinatio" +
-      "n.v1.PlacePart\022\032\n\022first_event_millis\030\003 \001" +
-      "(\001\022\025\n\rwaited_millis\030\004 \001(\003\"8\n\014PlaceRefuse" +
-      "d\022\014\n\004kind\030\001 \001(\t\022\032\n\022retry_after_millis\030\002 " +
-      "\001(\003\"\311\001\n\nPlaceReply\022<\n\007waiting\030\001 \001(\0132).bu" +
-      "lrushtack.coordination.v1.PlaceWaitingH\000" +
-      "\0225\n\006placed\030\002 \001(\0132#.bulrushtack.coordinat" +
-      "ion.v1.PlacedH\000\022<\n\007refused\030\003 \001(\0132).bulru" +
-      "shtack.coordination.v1.PlaceRefusedH\000B\010\n" +
-      "\006result\"\\\n\016ReleaseRequest\022\024\n\014placement_i" +
-      "d\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\017\n\007outcome\030\003 " +
-      "\001(\t\022\020\n\010slowness\030\004 \001(\001\"\016\n\014ReleaseReply2\252\002" +
-      "\n\014Coordination\022X\n\004Sync\022(.bulrushtack.coo" +
-      "rdination.v1.SyncRequest\032&.bulrushtack.c" +
-      "oordination.v1.SyncReply\022]\n\005Place\022).bulr" +
-      "ushtack.coordination.v1.PlaceRequest\032\'.b" +
-      "ulrushtack.coordination.v1.PlaceReply0\001\022" +
-      "a\n\007Release\022+.bulrushtack.coordination.v1" +
-      ".ReleaseRequest\032).bulrushtack.coordinati" +
-      "on.v1.ReleaseReplyB\034\n\030org.bulrushtack.pr" +
-      "otocolP\001b\006proto3"
+      "leaving\030\010 \001(\010\022\022\n\nage_millis\030\t \001(\003\022\020\n\010rev" +
+      "ision\030\n \001(\003\"\267\001\n\016ResidentRecord\022\024\n\014placem" +
+      "ent_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\016\n\006write" +
+      "s\030\003 \001(\010\022\025\n\rmemory_tokens\030\004 \001(\003\022\026\n\016contex" +
+      "t_tokens\030\005 \001(\003\022\023\n\013read_millis\030\006 \001(\001\022\024\n\014p" +
+      "ause_millis\030\007 \001(\003\022\022\n\nage_millis\030\010 \001(\003\"2\n" +
+      "\rTopicPosition\022\r\n\005topic\030\001 \001(\t\022\022\n\nend_off" +
+      "set\030\002 \001(\003\"^\n\013TopicRecord\022\013\n\003key\030\001 \001(\t\022\016\n" +
+      "\006offset\030\002 \001(\003\022\017\n\007dropped\030\003 \001(\010\022\r\n\005value\030" +
+      "\004 \001(\014\022\022\n\ncompressed\030\005 \001(\010\"\220\001\n\nTopicBatch" +
+      "\022\r\n\005topic\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010\022\022\n\nend" +
+      "_offset\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003\0229\n\007rec" +
+      "ords\030\005 \003(\0132(.bulrushtack.coordination.v1" +
+      ".TopicRecord\"\263\002\n\013SyncRequest\0229\n\006sender\030\001" +
+      " \001(\0132).bulrushtack.coordination.v1.Daemo" +
+      "nRecord\022=\n\tpositions\030\002 \003(\0132*.bulrushtack" +
+      ".coordination.v1.TopicPosition\022>\n\treside" +
+      "nts\030\003 \003(\0132+.bulrushtack.coordination.v1." +
+      "ResidentRecord\022:\n\007daemons\030\004 \003(\0132).bulrus" +
+      "htack.coordination.v1.DaemonRecord\022\030\n\020vi" +
+      "ew_incarnation\030\005 \001(\t\022\024\n\014view_version\030\006 \001" +
+      "(\003\"\367\001\n\tSyncReply\0229\n\006sender\030\001 \001(\0132).bulru" +
+      "shtack.coordination.v1.DaemonRecord\022:\n\007d" +
+      "aemons\030\002 \003(\0132).bulrushtack.coordination." +
+      "v1.DaemonRecord\0228\n\007batches\030\003 \003(\0132\'.bulru" +
+      "shtack.coordination.v1.TopicBatch\022\024\n\014vie" +
+      "w_version\030\004 \001(\003\022\025\n\rview_complete\030\005 \001(\010\022\014" +
+      "\n\004gone\030\006 \003(\t\"\245\002\n\014PlaceRequest\022\n\n\002id\030\001 \001(" +
+      "\t\022\r\n\005taker\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\023\n\013dat" +
+      "a_centre\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\003\022\025\n" +
+      "\ranswer_tokens\030\006 \001(\003\022\035\n\025maximum_answer_t" +
+      "okens\030\007 \001(\003\022\024\n\014pause_millis\030\010 \001(\003\022\020\n\010pri" +
+      "ority\030\t \001(\005\022\025\n\rwaited_millis\030\n \001(\003\022\033\n\023ob" +
+      "jective_in_millis\030\013 \001(\003\022\031\n\021give_up_in_mi" +
+      "llis\030\014 \001(\003\022\020\n\010excluded\030\r \003(\t\"F\n\tPlacePar" +
+      "t\022\021\n\tserver_id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\025\n" +
+      "\rticket_tokens\030\003 \001(\003\"\016\n\014PlaceWaiting\"\253\001\n" +
+      "\006Placed\0225\n\005first\030\001 \001(\0132&.bulrushtack.coo" +
+      "rdination.v1.PlacePart\0227\n\007helpers\030\002 \003(\0132" +
+      "&.bulrushtack.coordination.v1.PlacePart\022" +
+      "\032\n\022first_event_millis\030\003 \001(\001\022\025\n\rwaited_mi" +
+      "llis\030\004 \001(\003\"8\n\014PlaceRefused\022\014\n\004kind\030\001 \001(\t" +
+      "\022\032\n\022retry_after_millis\030\002 \001(\003\"\311\001\n\nPlaceRe" +
+      "ply\022<\n\007waiting\030\001 \001(\0132).bulrushtack.coord" +
+      "ination.v1.PlaceWaitingH\000\0225\n\006placed\030\002 \001(" +
+      "\0132#.bulrushtack.coordination.v1.PlacedH\000" +
+      "\022<\n\007refused\030\003 \001(\0132).bulrushtack.coordina" +
+      "tion.v1.PlaceRefusedH\000B\010\n\006result\"\\\n\016Rele" +
+      "aseRequest\022\024\n\014placement_id\030\001 \001(\t\022\021\n\tserv" +
+      "er_id\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\020\n\010slowness" +
+      "\030\004 \001(\001\"\016\n\014ReleaseReply2\252\002\n\014Coordination\022" +
+      "X\n\004Sync\022(.bulrushtack.coordination.v1.Sy" +
+      "ncRequest\032&.bulrushtack.coordination.v1." +
+      "SyncReply\022]\n\005Place\022).bulrushtack.coordin" +
+      "ation.v1.PlaceRequest\032\'.bulrushtack.coor" +
+      "dination.v1.PlaceReply0\001\022a\n\007Release\022+.bu" +
+      "lrushtack.coordination.v1.ReleaseRequest" +
+      "\032).bulrushtack.coordination.v1.ReleaseRe" +
+      "plyB\034\n\030org.bulrushtack.protocolP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -170,7 +174,7 @@
     internal_static_bulrushtack_coordination_v1_DaemonRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_DaemonRecord_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "DataCentre", "PeerAddress", "FrontAddress", "Rank", "Ready", "Leaving", "AgeMillis", });
+        new java.lang.String[] { "Name", "Incarnation", "DataCentre", "PeerAddress", "FrontAddress", "Rank", "Ready", "Leaving", "AgeMillis", "Revision", });
     internal_static_bulrushtack_coordination_v1_ResidentRecord_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_bulrushtack_coordination_v1_ResidentRecord_fieldAccessorTable = new
@@ -188,7 +192,7 @@
     internal_static_bulrushtack_coordination_v1_TopicRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_TopicRecord_descriptor,
-        new java.lang.String[] { "Key", "Offset", "Dropped", "Value", });
+        new java.lang.String[] { "Key", "Offset", "Dropped", "Value", "Compressed", });
     internal_static_bulrushtack_coordination_v1_TopicBatch_descriptor =
       getDescriptor().getMessageTypes().get(4);
     internal_static_bulrushtack_coordination_v1_TopicBatch_fieldAccessorTable = new
@@ -200,13 +204,13 @@
     internal_static_bulrushtack_coordination_v1_SyncRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_SyncRequest_descriptor,
-        new java.lang.String[] { "Sender", "Positions", "Residents", "Daemons", });
+        new java.lang.String[] { "Sender", "Positions", "Residents", "Daemons", "ViewIncarnation", "ViewVersion", });
     internal_static_bulrushtack_coordination_v1_SyncReply_descriptor =
       getDescriptor().getMessageTypes().get(6);
     internal_static_bulrushtack_coordination_v1_SyncReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_SyncReply_descriptor,
-        new java.lang.String[] { "Sender", "Daemons", "Batches", });
+        new java.lang.String[] { "Sender", "Daemons", "Batches", "ViewVersion", "ViewComplete", "Gone", });
     internal_static_bulrushtack_coordination_v1_PlaceRequest_descriptor =
       getDescriptor().getMessageTypes().get(7);
     internal_static_bulrushtack_coordination_v1_PlaceRequest_fieldAccessorTable = new
--- a/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecord.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecord.java
@@ -291,6 +291,21 @@
     return ageMillis_;
   }
 
+  public static final int REVISION_FIELD_NUMBER = 10;
+  private long revision_ = 0L;
+  /**
+   * <pre>
+   * Grows with each change that an incarnation makes here.
+   * </pre>
+   *
+   * <code>int64 revision = 10;</code>
+   * @return The revision.
+   */
+  @java.lang.Override
+  public long getRevision() {
+    return revision_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -332,6 +347,9 @@
     if (ageMillis_ != 0L) {
       output.writeInt64(9, ageMillis_);
     }
+    if (revision_ != 0L) {
+      output.writeInt64(10, revision_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -372,6 +390,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(9, ageMillis_);
     }
+    if (revision_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(10, revision_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -405,6 +427,8 @@
         != other.getLeaving()) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (getRevision()
+        != other.getRevision()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -438,6 +462,9 @@
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMillis());
+    hash = (37 * hash) + REVISION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRevision());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -578,6 +605,7 @@
       ready_ = false;
       leaving_ = false;
       ageMillis_ = 0L;
+      revision_ = 0L;
       return this;
     }
 
@@ -638,6 +666,9 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.revision_ = revision_;
+      }
     }
 
     @java.lang.Override
@@ -721,6 +752,9 @@
       if (other.getAgeMillis() != 0L) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (other.getRevision() != 0L) {
+        setRevision(other.getRevision());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -792,6 +826,11 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 72
+            case 80: {
+              revision_ = input.readInt64();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1320,6 +1359,50 @@
       onChanged();
       return this;
     }
+
+    private long revision_ ;
+    /**
+     * <pre>
+     * Grows with each change that an incarnation makes here.
+     * </pre>
+     *
+     * <code>int64 revision = 10;</code>
+     * @return The revision.
+     */
+    @java.lang.Override
+    public long getRevision() {
+      return revision_;
+    }
+    /**
+     * <pre>
+     * Grows with each change that an incarnation makes here.
+     * </pre>
+     *
+     * <code>int64 revision = 10;</code>
+     * @param value The revision to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRevision(long value) {
+
+      revision_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Grows with each change that an incarnation makes here.
+     * </pre>
+     *
+     * <code>int64 revision = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRevision() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      revision_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecordOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecordOrBuilder.java
@@ -99,4 +99,14 @@
    * @return The ageMillis.
    */
   long getAgeMillis();
+
+  /**
+   * <pre>
+   * Grows with each change that an incarnation makes here.
+   * </pre>
+   *
+   * <code>int64 revision = 10;</code>
+   * @return The revision.
+   */
+  long getRevision();
 }
--- a/protocol/src/main/java/org/bulrushtack/protocol/SyncReply.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/SyncReply.java
@@ -19,6 +19,8 @@
   private SyncReply() {
     daemons_ = java.util.Collections.emptyList();
     batches_ = java.util.Collections.emptyList();
+    gone_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   @java.lang.Override
@@ -72,6 +74,10 @@
   @SuppressWarnings("serial")
   private java.util.List<org.bulrushtack.protocol.DaemonRecord> daemons_;
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   @java.lang.Override
@@ -79,6 +85,10 @@
     return daemons_;
   }
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   @java.lang.Override
@@ -87,6 +97,10 @@
     return daemons_;
   }
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   @java.lang.Override
@@ -94,6 +108,10 @@
     return daemons_.size();
   }
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   @java.lang.Override
@@ -101,6 +119,10 @@
     return daemons_.get(index);
   }
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   @java.lang.Override
@@ -150,6 +172,81 @@
     return batches_.get(index);
   }
 
+  public static final int VIEW_VERSION_FIELD_NUMBER = 4;
+  private long viewVersion_ = 0L;
+  /**
+   * <code>int64 view_version = 4;</code>
+   * @return The viewVersion.
+   */
+  @java.lang.Override
+  public long getViewVersion() {
+    return viewVersion_;
+  }
+
+  public static final int VIEW_COMPLETE_FIELD_NUMBER = 5;
+  private boolean viewComplete_ = false;
+  /**
+   * <code>bool view_complete = 5;</code>
+   * @return The viewComplete.
+   */
+  @java.lang.Override
+  public boolean getViewComplete() {
+    return viewComplete_;
+  }
+
+  public static final int GONE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList gone_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @return A list containing the gone.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getGoneList() {
+    return gone_;
+  }
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @return The count of gone.
+   */
+  public int getGoneCount() {
+    return gone_.size();
+  }
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @param index The index of the element to return.
+   * @return The gone at the given index.
+   */
+  public java.lang.String getGone(int index) {
+    return gone_.get(index);
+  }
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the gone at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getGoneBytes(int index) {
+    return gone_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -173,6 +270,15 @@
     for (int i = 0; i < batches_.size(); i++) {
       output.writeMessage(3, batches_.get(i));
     }
+    if (viewVersion_ != 0L) {
+      output.writeInt64(4, viewVersion_);
+    }
+    if (viewComplete_ != false) {
+      output.writeBool(5, viewComplete_);
+    }
+    for (int i = 0; i < gone_.size(); i++) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 6, gone_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -194,6 +300,22 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, batches_.get(i));
     }
+    if (viewVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, viewVersion_);
+    }
+    if (viewComplete_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, viewComplete_);
+    }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < gone_.size(); i++) {
+        dataSize += computeStringSizeNoTag(gone_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getGoneList().size();
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -218,6 +340,12 @@
         .equals(other.getDaemonsList())) return false;
     if (!getBatchesList()
         .equals(other.getBatchesList())) return false;
+    if (getViewVersion()
+        != other.getViewVersion()) return false;
+    if (getViewComplete()
+        != other.getViewComplete()) return false;
+    if (!getGoneList()
+        .equals(other.getGoneList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -241,6 +369,16 @@
       hash = (37 * hash) + BATCHES_FIELD_NUMBER;
       hash = (53 * hash) + getBatchesList().hashCode();
     }
+    hash = (37 * hash) + VIEW_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getViewVersion());
+    hash = (37 * hash) + VIEW_COMPLETE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getViewComplete());
+    if (getGoneCount() > 0) {
+      hash = (37 * hash) + GONE_FIELD_NUMBER;
+      hash = (53 * hash) + getGoneList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -399,6 +537,10 @@
         batchesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      viewVersion_ = 0L;
+      viewComplete_ = false;
+      gone_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -461,6 +603,16 @@
             : senderBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.viewVersion_ = viewVersion_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.viewComplete_ = viewComplete_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        gone_.makeImmutable();
+        result.gone_ = gone_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -563,6 +715,22 @@
           }
         }
       }
+      if (other.getViewVersion() != 0L) {
+        setViewVersion(other.getViewVersion());
+      }
+      if (other.getViewComplete() != false) {
+        setViewComplete(other.getViewComplete());
+      }
+      if (!other.gone_.isEmpty()) {
+        if (gone_.isEmpty()) {
+          gone_ = other.gone_;
+          bitField0_ |= 0x00000020;
+        } else {
+          ensureGoneIsMutable();
+          gone_.addAll(other.gone_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -622,6 +790,22 @@
               }
               break;
             } // case 26
+            case 32: {
+              viewVersion_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              viewComplete_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
+            case 50: {
+              java.lang.String s = input.readStringRequireUtf8();
+              ensureGoneIsMutable();
+              gone_.add(s);
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -773,6 +957,10 @@
         org.bulrushtack.protocol.DaemonRecord, org.bulrushtack.protocol.DaemonRecord.Builder, org.bulrushtack.protocol.DaemonRecordOrBuilder> daemonsBuilder_;
 
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public java.util.List<org.bulrushtack.protocol.DaemonRecord> getDaemonsList() {
@@ -783,6 +971,10 @@
       }
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public int getDaemonsCount() {
@@ -793,6 +985,10 @@
       }
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public org.bulrushtack.protocol.DaemonRecord getDaemons(int index) {
@@ -803,6 +999,10 @@
       }
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder setDaemons(
@@ -820,6 +1020,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder setDaemons(
@@ -834,6 +1038,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder addDaemons(org.bulrushtack.protocol.DaemonRecord value) {
@@ -850,6 +1058,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder addDaemons(
@@ -867,6 +1079,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder addDaemons(
@@ -881,6 +1097,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder addDaemons(
@@ -895,6 +1115,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder addAllDaemons(
@@ -910,6 +1134,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder clearDaemons() {
@@ -923,6 +1151,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public Builder removeDaemons(int index) {
@@ -936,6 +1168,10 @@
       return this;
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public org.bulrushtack.protocol.DaemonRecord.Builder getDaemonsBuilder(
@@ -943,6 +1179,10 @@
       return getDaemonsFieldBuilder().getBuilder(index);
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public org.bulrushtack.protocol.DaemonRecordOrBuilder getDaemonsOrBuilder(
@@ -953,6 +1193,10 @@
       }
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public java.util.List<? extends org.bulrushtack.protocol.DaemonRecordOrBuilder> 
@@ -964,6 +1208,10 @@
       }
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public org.bulrushtack.protocol.DaemonRecord.Builder addDaemonsBuilder() {
@@ -971,6 +1219,10 @@
           org.bulrushtack.protocol.DaemonRecord.getDefaultInstance());
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public org.bulrushtack.protocol.DaemonRecord.Builder addDaemonsBuilder(
@@ -979,6 +1231,10 @@
           index, org.bulrushtack.protocol.DaemonRecord.getDefaultInstance());
     }
     /**
+     * <pre>
+     * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+     * </pre>
+     *
      * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
      */
     public java.util.List<org.bulrushtack.protocol.DaemonRecord.Builder> 
@@ -1239,6 +1495,217 @@
       }
       return batchesBuilder_;
     }
+
+    private long viewVersion_ ;
+    /**
+     * <code>int64 view_version = 4;</code>
+     * @return The viewVersion.
+     */
+    @java.lang.Override
+    public long getViewVersion() {
+      return viewVersion_;
+    }
+    /**
+     * <code>int64 view_version = 4;</code>
+     * @param value The viewVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setViewVersion(long value) {
+
+      viewVersion_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 view_version = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearViewVersion() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      viewVersion_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean viewComplete_ ;
+    /**
+     * <code>bool view_complete = 5;</code>
+     * @return The viewComplete.
+     */
+    @java.lang.Override
+    public boolean getViewComplete() {
+      return viewComplete_;
+    }
+    /**
+     * <code>bool view_complete = 5;</code>
+     * @param value The viewComplete to set.
+     * @return This builder for chaining.
+     */
+    public Builder setViewComplete(boolean value) {
+
+      viewComplete_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool view_complete = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearViewComplete() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      viewComplete_ = false;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.LazyStringArrayList gone_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureGoneIsMutable() {
+      if (!gone_.isModifiable()) {
+        gone_ = new com.google.protobuf.LazyStringArrayList(gone_);
+      }
+      bitField0_ |= 0x00000020;
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @return A list containing the gone.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getGoneList() {
+      gone_.makeImmutable();
+      return gone_;
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @return The count of gone.
+     */
+    public int getGoneCount() {
+      return gone_.size();
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @param index The index of the element to return.
+     * @return The gone at the given index.
+     */
+    public java.lang.String getGone(int index) {
+      return gone_.get(index);
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the gone at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getGoneBytes(int index) {
+      return gone_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @param index The index to set the value at.
+     * @param value The gone to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGone(
+        int index, java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureGoneIsMutable();
+      gone_.set(index, value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @param value The gone to add.
+     * @return This builder for chaining.
+     */
+    public Builder addGone(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      ensureGoneIsMutable();
+      gone_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @param values The gone to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllGone(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureGoneIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, gone_);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGone() {
+      gone_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000020);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The names of daemons that are no longer live.
+     * </pre>
+     *
+     * <code>repeated string gone = 6;</code>
+     * @param value The bytes of the gone to add.
+     * @return This builder for chaining.
+     */
+    public Builder addGoneBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      ensureGoneIsMutable();
+      gone_.add(value);
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/SyncReplyOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/SyncReplyOrBuilder.java
@@ -24,24 +24,44 @@
   org.bulrushtack.protocol.DaemonRecordOrBuilder getSenderOrBuilder();
 
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   java.util.List<org.bulrushtack.protocol.DaemonRecord> 
       getDaemonsList();
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   org.bulrushtack.protocol.DaemonRecord getDaemons(int index);
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   int getDaemonsCount();
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   java.util.List<? extends org.bulrushtack.protocol.DaemonRecordOrBuilder> 
       getDaemonsOrBuilderList();
   /**
+   * <pre>
+   * The live daemons that are new or have changed since the receiver's version; all of them where complete is set.
+   * </pre>
+   *
    * <code>repeated .bulrushtack.coordination.v1.DaemonRecord daemons = 2;</code>
    */
   org.bulrushtack.protocol.DaemonRecordOrBuilder getDaemonsOrBuilder(
@@ -70,4 +90,57 @@
    */
   org.bulrushtack.protocol.TopicBatchOrBuilder getBatchesOrBuilder(
       int index);
+
+  /**
+   * <code>int64 view_version = 4;</code>
+   * @return The viewVersion.
+   */
+  long getViewVersion();
+
+  /**
+   * <code>bool view_complete = 5;</code>
+   * @return The viewComplete.
+   */
+  boolean getViewComplete();
+
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @return A list containing the gone.
+   */
+  java.util.List<java.lang.String>
+      getGoneList();
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @return The count of gone.
+   */
+  int getGoneCount();
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @param index The index of the element to return.
+   * @return The gone at the given index.
+   */
+  java.lang.String getGone(int index);
+  /**
+   * <pre>
+   * The names of daemons that are no longer live.
+   * </pre>
+   *
+   * <code>repeated string gone = 6;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the gone at the given index.
+   */
+  com.google.protobuf.ByteString
+      getGoneBytes(int index);
 }
--- a/protocol/src/main/java/org/bulrushtack/protocol/SyncRequest.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/SyncRequest.java
@@ -20,6 +20,7 @@
     positions_ = java.util.Collections.emptyList();
     residents_ = java.util.Collections.emptyList();
     daemons_ = java.util.Collections.emptyList();
+    viewIncarnation_ = "";
   }
 
   @java.lang.Override
@@ -212,6 +213,64 @@
     return daemons_.get(index);
   }
 
+  public static final int VIEW_INCARNATION_FIELD_NUMBER = 5;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object viewIncarnation_ = "";
+  /**
+   * <pre>
+   * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+   * </pre>
+   *
+   * <code>string view_incarnation = 5;</code>
+   * @return The viewIncarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getViewIncarnation() {
+    java.lang.Object ref = viewIncarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      viewIncarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+   * </pre>
+   *
+   * <code>string view_incarnation = 5;</code>
+   * @return The bytes for viewIncarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getViewIncarnationBytes() {
+    java.lang.Object ref = viewIncarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      viewIncarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
+  public static final int VIEW_VERSION_FIELD_NUMBER = 6;
+  private long viewVersion_ = 0L;
+  /**
+   * <code>int64 view_version = 6;</code>
+   * @return The viewVersion.
+   */
+  @java.lang.Override
+  public long getViewVersion() {
+    return viewVersion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -238,6 +297,12 @@
     for (int i = 0; i < daemons_.size(); i++) {
       output.writeMessage(4, daemons_.get(i));
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(viewIncarnation_)) {
+      com.google.protobuf.GeneratedMessageV3.writeString(output, 5, viewIncarnation_);
+    }
+    if (viewVersion_ != 0L) {
+      output.writeInt64(6, viewVersion_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -263,6 +328,13 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, daemons_.get(i));
     }
+    if (!com.google.protobuf.GeneratedMessageV3.isStringEmpty(viewIncarnation_)) {
+      size += com.google.protobuf.GeneratedMessageV3.computeStringSize(5, viewIncarnation_);
+    }
+    if (viewVersion_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, viewVersion_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -289,6 +361,10 @@
         .equals(other.getResidentsList())) return false;
     if (!getDaemonsList()
         .equals(other.getDaemonsList())) return false;
+    if (!getViewIncarnation()
+        .equals(other.getViewIncarnation())) return false;
+    if (getViewVersion()
+        != other.getViewVersion()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -316,6 +392,11 @@
       hash = (37 * hash) + DAEMONS_FIELD_NUMBER;
       hash = (53 * hash) + getDaemonsList().hashCode();
     }
+    hash = (37 * hash) + VIEW_INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getViewIncarnation().hashCode();
+    hash = (37 * hash) + VIEW_VERSION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getViewVersion());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -482,6 +563,8 @@
         daemonsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000008);
+      viewIncarnation_ = "";
+      viewVersion_ = 0L;
       return this;
     }
 
@@ -553,6 +636,12 @@
             : senderBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.viewIncarnation_ = viewIncarnation_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.viewVersion_ = viewVersion_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -681,6 +770,14 @@
           }
         }
       }
+      if (!other.getViewIncarnation().isEmpty()) {
+        viewIncarnation_ = other.viewIncarnation_;
+        bitField0_ |= 0x00000010;
+        onChanged();
+      }
+      if (other.getViewVersion() != 0L) {
+        setViewVersion(other.getViewVersion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -753,6 +850,16 @@
               }
               break;
             } // case 34
+            case 42: {
+              viewIncarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
+            case 48: {
+              viewVersion_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1682,6 +1789,130 @@
       }
       return daemonsBuilder_;
     }
+
+    private java.lang.Object viewIncarnation_ = "";
+    /**
+     * <pre>
+     * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+     * </pre>
+     *
+     * <code>string view_incarnation = 5;</code>
+     * @return The viewIncarnation.
+     */
+    public java.lang.String getViewIncarnation() {
+      java.lang.Object ref = viewIncarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        viewIncarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+     * </pre>
+     *
+     * <code>string view_incarnation = 5;</code>
+     * @return The bytes for viewIncarnation.
+     */
+    public com.google.protobuf.ByteString
+        getViewIncarnationBytes() {
+      java.lang.Object ref = viewIncarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        viewIncarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+     * </pre>
+     *
+     * <code>string view_incarnation = 5;</code>
+     * @param value The viewIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setViewIncarnation(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      viewIncarnation_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+     * </pre>
+     *
+     * <code>string view_incarnation = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearViewIncarnation() {
+      viewIncarnation_ = getDefaultInstance().getViewIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000010);
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+     * </pre>
+     *
+     * <code>string view_incarnation = 5;</code>
+     * @param value The bytes for viewIncarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setViewIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      viewIncarnation_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+
+    private long viewVersion_ ;
+    /**
+     * <code>int64 view_version = 6;</code>
+     * @return The viewVersion.
+     */
+    @java.lang.Override
+    public long getViewVersion() {
+      return viewVersion_;
+    }
+    /**
+     * <code>int64 view_version = 6;</code>
+     * @param value The viewVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setViewVersion(long value) {
+
+      viewVersion_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>int64 view_version = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearViewVersion() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      viewVersion_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/SyncRequestOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/SyncRequestOrBuilder.java
@@ -114,4 +114,30 @@
    */
   org.bulrushtack.protocol.DaemonRecordOrBuilder getDaemonsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+   * </pre>
+   *
+   * <code>string view_incarnation = 5;</code>
+   * @return The viewIncarnation.
+   */
+  java.lang.String getViewIncarnation();
+  /**
+   * <pre>
+   * What the sender knows of the receiver's live daemons: the receiver's incarnation and the version it gave.
+   * </pre>
+   *
+   * <code>string view_incarnation = 5;</code>
+   * @return The bytes for viewIncarnation.
+   */
+  com.google.protobuf.ByteString
+      getViewIncarnationBytes();
+
+  /**
+   * <code>int64 view_version = 6;</code>
+   * @return The viewVersion.
+   */
+  long getViewVersion();
 }
--- a/protocol/src/main/java/org/bulrushtack/protocol/TopicRecord.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/TopicRecord.java
@@ -113,6 +113,21 @@
     return value_;
   }
 
+  public static final int COMPRESSED_FIELD_NUMBER = 5;
+  private boolean compressed_ = false;
+  /**
+   * <pre>
+   * Whether the value is compressed (RFC 1950).
+   * </pre>
+   *
+   * <code>bool compressed = 5;</code>
+   * @return The compressed.
+   */
+  @java.lang.Override
+  public boolean getCompressed() {
+    return compressed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -139,6 +154,9 @@
     if (!value_.isEmpty()) {
       output.writeBytes(4, value_);
     }
+    if (compressed_ != false) {
+      output.writeBool(5, compressed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -163,6 +181,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBytesSize(4, value_);
     }
+    if (compressed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(5, compressed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -186,6 +208,8 @@
         != other.getDropped()) return false;
     if (!getValue()
         .equals(other.getValue())) return false;
+    if (getCompressed()
+        != other.getCompressed()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -207,6 +231,9 @@
         getDropped());
     hash = (37 * hash) + VALUE_FIELD_NUMBER;
     hash = (53 * hash) + getValue().hashCode();
+    hash = (37 * hash) + COMPRESSED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCompressed());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -342,6 +369,7 @@
       offset_ = 0L;
       dropped_ = false;
       value_ = com.google.protobuf.ByteString.EMPTY;
+      compressed_ = false;
       return this;
     }
 
@@ -387,6 +415,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.value_ = value_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.compressed_ = compressed_;
+      }
     }
 
     @java.lang.Override
@@ -447,6 +478,9 @@
       if (other.getValue() != com.google.protobuf.ByteString.EMPTY) {
         setValue(other.getValue());
       }
+      if (other.getCompressed() != false) {
+        setCompressed(other.getCompressed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -493,6 +527,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              compressed_ = input.readBool();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -677,6 +716,50 @@
       onChanged();
       return this;
     }
+
+    private boolean compressed_ ;
+    /**
+     * <pre>
+     * Whether the value is compressed (RFC 1950).
+     * </pre>
+     *
+     * <code>bool compressed = 5;</code>
+     * @return The compressed.
+     */
+    @java.lang.Override
+    public boolean getCompressed() {
+      return compressed_;
+    }
+    /**
+     * <pre>
+     * Whether the value is compressed (RFC 1950).
+     * </pre>
+     *
+     * <code>bool compressed = 5;</code>
+     * @param value The compressed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompressed(boolean value) {
+
+      compressed_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the value is compressed (RFC 1950).
+     * </pre>
+     *
+     * <code>bool compressed = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompressed() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      compressed_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/TopicRecordOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/TopicRecordOrBuilder.java
@@ -37,4 +37,14 @@
    * @return The value.
    */
   com.google.protobuf.ByteString getValue();
+
+  /**
+   * <pre>
+   * Whether the value is compressed (RFC 1950).
+   * </pre>
+   *
+   * <code>bool compressed = 5;</code>
+   * @return The compressed.
+   */
+  boolean getCompressed();
 }
