--- a/command/src/main/kotlin/org/bulrushtack/command/Main.kt
+++ b/command/src/main/kotlin/org/bulrushtack/command/Main.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import org.bulrushtack.command.explain.ExplainCommand
 import org.bulrushtack.program.ProgramLine
 
 /** The program `bulrushtack`. */
@@ -15,6 +16,7 @@
         EntryCommand(),
         KeyCommand(),
         CheckCommand(),
+        ExplainCommand(),
     )
     ProgramLine.run(parser = parser, arguments = arguments, program = OperatorCommand::class.java)
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -121,6 +121,6 @@
 /** Costs in milliseconds of the first event that placement accepts to avoid something. */
 private const val MIXED_COST_MILLIS = 150.0
 private const val IDLE_COST_MILLIS = 100.0
-private const val PACKING_GAIN_MILLIS = 2.0
+private const val PACKING_GAIN_MILLIS = 6.0
 private const val FAR_COST_MILLIS = 3.0
 private const val FAILURE_COST_MILLIS = 600.0
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/Scheduler.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/Scheduler.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.core.placement
 
 import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.exchange.ReturnAdvice
 import org.bulrushtack.core.fleet.FleetRegion
 import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.ServiceProfile
@@ -15,6 +16,7 @@
     private val fleet: FleetRegion,
     private val ledger: PlacementLedger,
     private val health: ServerHealth,
+    private val returnAdvice: ReturnAdvice,
     private val routing: () -> RoutingTable?,
 ) {
     private val queue = PlacementQueue()
@@ -27,7 +29,7 @@
     /** Places [request] at once, lets it wait, or refuses it. */
     public fun submit(request: PlacementRequest, nowMillis: Long): PlacementDecision {
         val service = routing()?.service(request.service)
-        val engine = service?.engine ?: return refusal(request, ErrorKind.NO_BACKEND_SERVER)
+        val engine = service?.engine ?: return refusal(request, ErrorKind.NO_BACKEND_SERVER, nowMillis)
         val placed = decide(request, nowMillis)
         if (placed is PlacementDecision.Waiting) {
             val parts = maxOf(1, fleet.usableOf(request.service, nowMillis).size).coerceAtMost(USUAL_PARTS)
@@ -75,7 +77,7 @@
         return when {
             placement != null ->
                 PlacementDecision.Placed(placement, waitedMillis = nowMillis - request.receivedAtMillis)
-            nowMillis >= request.giveUpAtMillis -> refusal(request, ErrorKind.OVERLOADED)
+            nowMillis >= request.giveUpAtMillis -> refusal(request, ErrorKind.OVERLOADED, nowMillis)
             else -> PlacementDecision.Waiting(request.id)
         }
     }
@@ -87,8 +89,11 @@
         nowMillis = nowMillis,
     )
 
-    private fun refusal(request: PlacementRequest, kind: ErrorKind): PlacementDecision =
-        PlacementDecision.Refused(id = request.id, kind = kind, retryAfterMillis = RETRY_AFTER_MILLIS)
+    private fun refusal(request: PlacementRequest, kind: ErrorKind, nowMillis: Long): PlacementDecision {
+        val servers = fleet.usableOf(request.service, nowMillis).size
+        val retryAfterMillis = returnAdvice.afterMillis(waiting = queue.size, servers = servers)
+        return PlacementDecision.Refused(id = request.id, kind = kind, retryAfterMillis = retryAfterMillis)
+    }
 }
 
 /** The usual number of engines that read a long prompt; only used to order what waits. */
@@ -96,6 +101,3 @@
 
 /** Longer than a decision is on its way to its taker. */
 private const val SETTLING_MILLIS = 1_000L
-
-/** About the time in which an engine ends a short answer. */
-private const val RETRY_AFTER_MILLIS = 500L
--- a/core/src/test/kotlin/org/bulrushtack/core/placement/AlternatingBurstsTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/AlternatingBurstsTest.kt
@@ -47,6 +47,18 @@
         earned.servedShareOfLargest("long") shouldBeGreaterThanOrEqualTo earned.servedShare("long") / 2
     }
 
+    @Test
+    fun `the rest of the engines earn their target while a data centre of them is missing`() {
+        val shares = (1..SEEDS).map { seed ->
+            val load = FakeLoad(seed = seed, durationMillis = 40_000).prompts()
+            val engines = size - size / 3
+            val results = FakeFleet(FakeDispatchers.PROFILE, engines, FakeDispatchers.scheduler(engines)).play(load)
+            Earned(load = load, results = results).total
+        }
+
+        shares.average() shouldBeGreaterThanOrEqualTo TARGET_WORTH
+    }
+
     private class Earned(
         private val load: List<FakePrompt>,
         private val results: List<FakeFleet.Result>,
@@ -73,5 +85,8 @@
         /** The share that the users ask of each kind on the calm day of their first site. */
         const val KIND_FLOOR = 0.43
         const val SEEDS = 5
+
+        /** The mean worth that the users name as their target on days with trouble. */
+        const val TARGET_WORTH = 0.71
     }
 }
--- a/core/src/test/kotlin/org/bulrushtack/core/placement/SchedulerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/SchedulerTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.exchange.ReturnAdvice
 import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.fleet.FleetRegion
 import org.bulrushtack.core.route.CallerLimits
@@ -11,6 +12,7 @@
 import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.ServiceProfile
 import org.bulrushtack.core.testing.FakeDispatchers
+import kotlin.random.Random
 
 class SchedulerTest : AnnotationSpec() {
     private var ledger = PlacementLedger()
@@ -25,7 +27,7 @@
             fleet.put(entry, nowMillis = 0)
         }
         ledger = PlacementLedger()
-        return Scheduler(fleet, ledger, ServerHealth()) { routing }
+        return Scheduler(fleet, ledger, ServerHealth(), ReturnAdvice(Random(1))) { routing }
     }
 
     private fun request(id: String, tokens: Long, pauseMillis: Long = 250, objectiveMillis: Long = 300) =
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeDispatchers.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeDispatchers.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.core.testing
 
+import org.bulrushtack.core.exchange.ReturnAdvice
 import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.fleet.FleetRegion
 import org.bulrushtack.core.placement.Placement
@@ -14,6 +15,7 @@
 import org.bulrushtack.core.route.RoutingConfiguration
 import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.ServiceProfile
+import kotlin.random.Random
 
 /** Ways to say where prompts go: the product's scheduler, and what it is compared with. */
 internal object FakeDispatchers {
@@ -79,7 +81,7 @@
                 workspaces = null,
             ),
         )
-        private val scheduler = Scheduler(fleet, PlacementLedger(), ServerHealth()) { routing }
+        private val scheduler = Scheduler(fleet, PlacementLedger(), ServerHealth(), ReturnAdvice(Random(1))) { routing }
         private val placed = HashMap<String, Placement>()
 
         init {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeTools.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.exchange
 
+import org.bulrushtack.core.exchange.ReturnAdvice
 import org.bulrushtack.core.placement.PlainServerChoice
 import org.bulrushtack.core.placement.ServerHealth
 import org.bulrushtack.forward.ForwardMetrics
@@ -24,6 +25,7 @@
     val reservationFreeMillis: () -> Long,
     val thread: ForwardThread,
     val random: Random,
+    val returnAdvice: ReturnAdvice,
     val metrics: ForwardMetrics,
     val log: EventLog,
 )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalAnswer.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalAnswer.kt
@@ -68,7 +68,7 @@
         relay.abort()
     }
 
-    private fun problem(kind: ErrorKind, retryAfterMillis: Long = RETRY_AFTER_MILLIS) {
+    private fun problem(kind: ErrorKind, retryAfterMillis: Long = tools.returnAdvice.afterMillis()) {
         tools.metrics.problem(kind)
         close(kind.code)
         exchange.respond(ProblemWriter.response(Problem(kind), order.requestId, retryAfterMillis))
@@ -89,5 +89,4 @@
     }
 }
 
-private const val RETRY_AFTER_MILLIS = 500L
 private const val STATUS_OK = 200
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/PlainPlace.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/PlainPlace.kt
@@ -35,7 +35,7 @@
             }
             nowMillis - order.receivedAtMillis >= order.patience.placeMillis / WAIT_PART -> {
                 log("A request got no place.", server = null, nowMillis)
-                listener.refused(ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_MILLIS)
+                listener.refused(ErrorKind.NO_BACKEND_SERVER, tools.returnAdvice.afterMillis())
             }
             else -> retry = tools.thread.after(RETRY_MILLIS) { begin() }
         }
@@ -67,4 +67,3 @@
 /** A server that comes back is found soon, and a call keeps most of its time. */
 private const val RETRY_MILLIS = 30L
 private const val WAIT_PART = 2
-private const val RETRY_AFTER_MILLIS = 500L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -29,7 +29,11 @@
     fun begin(excluded: Set<String>) {
         val found = AttemptPlaces(tools, order).create(number, excluded, this)
         place = found
-        if (found == null) refused(ErrorKind.NO_BACKEND_SERVER, RETRY_AFTER_MILLIS) else found.begin()
+        if (found == null) {
+            refused(ErrorKind.NO_BACKEND_SERVER, tools.returnAdvice.afterMillis())
+        } else {
+            found.begin()
+        }
     }
 
     /** Ends this try without a word on the server. */
@@ -122,8 +126,6 @@
     }
 }
 
-private const val RETRY_AFTER_MILLIS = 500L
-
 /** Ranks of the configuration are 0, 1, 2 ...; servers know 0 to 9. */
 private const val URGENCY_STEP = 2
 private const val LEAST_URGENT = 9
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup
 import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.exchange.ReturnAdvice
 import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.core.placement.ColdGuard
 import org.bulrushtack.core.placement.PlacementLedger
@@ -67,11 +68,14 @@
         metrics = metrics,
         log = logs.of("store"),
     )
+    private val random = Random(seed)
+    private val returnAdvice = ReturnAdvice(random)
     private val health = ServerHealth()
     val scheduler = Scheduler(
         fleet = state.fleet,
         ledger = PlacementLedger(),
         health = health,
+        returnAdvice = returnAdvice,
         routing = { state.routing },
     )
     private val broker = PlacementBroker(scheduler = scheduler, thread = thread)
@@ -99,7 +103,6 @@
         keepMillis = { this.settings.current.directoryKeepMillis },
         clock = clock,
     )
-    private val random = Random(seed)
     private val tools = ExchangeTools(
         state = state,
         codec = platform.exchanges,
@@ -123,6 +126,7 @@
         reservationFreeMillis = { this.settings.current.reservationFreeMillis },
         thread = thread,
         random = random,
+        returnAdvice = returnAdvice,
         metrics = metrics,
         log = logs.of("front"),
     )
