Add the fault soak: real daemons as processes, drawn faults from outside, promises checked from outside

Cause of its first finding (streams that ended whole at their eighth event): the server that I had put behind it closed its chunked answer properly when it meant to break off; ruled out the daemon by reading what the server sent.

--- /dev/null
+++ b/soak/src/test/kotlin/org/bulrushtack/soak/SoakDaemon.kt
@@ -0,0 +1,70 @@
+package org.bulrushtack.soak
+
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+/** A forwarding daemon as a process of its own, at loopback address [host]. */
+internal class SoakDaemon(
+    val host: String,
+    private val ports: List<Int>,
+    private val seeds: List<String>,
+    private val storePort: Int,
+    private val log: Path,
+) : AutoCloseable {
+    private val file = Files.createTempFile("soak", ".ini").also { Files.write(it, ini()) }
+    private var process: Process = start()
+
+    /** Since when the process has run without a signal, on the steady clock. */
+    @Volatile
+    var calmSinceNanos = System.nanoTime()
+        private set
+
+    val frontPort: Int get() = ports[0]
+
+    override fun close() {
+        signal("CONT")
+        process.destroyForcibly().waitFor()
+        Files.deleteIfExists(file)
+    }
+
+    /** Sends a signal by its name. */
+    fun signal(name: String) {
+        calmSinceNanos = Long.MAX_VALUE
+        ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor()
+        if (name == "CONT") calmSinceNanos = System.nanoTime()
+    }
+
+    /** Whether the process ended within [seconds]. */
+    fun ended(seconds: Long): Boolean = process.waitFor(seconds, TimeUnit.SECONDS)
+
+    /** Whether the process runs. */
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Starts a new process where the last one has ended. */
+    fun restart() {
+        process.destroyForcibly().waitFor()
+        process = start()
+        calmSinceNanos = System.nanoTime()
+    }
+
+    private fun start(): Process = ProcessBuilder(
+        "${System.getProperty("java.home")}/bin/java",
+        "-Xmx160m",
+        "-Xss256k",
+        "-XX:+UseSerialGC",
+        "-XX:TieredStopAtLevel=1",
+        "-cp",
+        System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path"),
+        "org.bulrushtack.daemon.MainKt",
+        "$file",
+    ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile())).start()
+
+    private fun ini(): List<String> {
+        val keys = listOf("listen", "readiness", "directory", "metrics")
+        return listOf("[daemon]", "name = vm-${host.substringAfterLast('.')}", "data-centre = a", "grace-seconds = 4") +
+            listOf("[forward]") + keys.mapIndexed { index, key -> "$key = $host:${ports[index]}" } +
+            listOf("[peers]", "listen = $host:${ports.last()}", "seeds = ${seeds.joinToString(",")}") +
+            listOf("[store]", "address = 127.0.0.1:$storePort")
+    }
+}
