Daemons tell only of those that spoke to them; young daemons hold long prompts back and sync oftener

Change: only daemons that spoke here are told on. Peers without a rank yet were not asked again until others told of it. Also fewer log lines and look-ups for each peer of many.

--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -53,15 +53,22 @@
             .sortedBy { it.rank }
     }
 
-    /** The daemons that may place work, the one to ask first at the head. */
-    public fun placers(nowMillis: Long): List<DaemonInfo> = ranked(nowMillis).filter { it.ready }
-
     /** The other daemons that were heard of lately. */
-    public fun live(nowMillis: Long): List<DaemonInfo> = liveSightings(nowMillis).map { it.daemon }
+    public fun live(nowMillis: Long): List<DaemonInfo> =
+        sightings.values.filter { nowMillis - it.heardAtMillis < ALIVE_MILLIS }.map { it.daemon }
+
+    /** Whether the daemon called [name] was heard of lately. */
+    public fun isLive(name: String, nowMillis: Long): Boolean =
+        sightings[name].let { it != null && nowMillis - it.heardAtMillis < ALIVE_MILLIS }
 
-    /** The other daemons that were heard of lately, each with the time. */
-    public fun liveSightings(nowMillis: Long): List<DaemonSighting> =
-        sightings.values.filter { nowMillis - it.heardAtMillis < ALIVE_MILLIS }
+    /**
+     * The other daemons that spoke to this one lately, each with the time. Only these are told to others: news that
+     * came from others and goes back to them would never grow old.
+     */
+    public fun spoken(nowMillis: Long): List<DaemonSighting> = sightings.values.mapNotNull { sighting ->
+        val spokeAtMillis = sighting.spokeAtMillis?.takeIf { nowMillis - it < ALIVE_MILLIS }
+        spokeAtMillis?.let { sighting.copy(heardAtMillis = it) }
+    }
 
     /** How many daemons are known of, this one included, whether they were heard of lately or not. */
     public val knownCount: Int get() = (addresses.values + self.peerAddress).toSet().size
@@ -79,6 +86,9 @@
     }
 }
 
+/** The daemons that may place work, the one to ask first at the head. */
+public fun DaemonTable.placers(nowMillis: Long): List<DaemonInfo> = ranked(nowMillis).filter { it.ready }
+
 /** Four syncs, of which one may be lost; callers are told of a dead daemon for this long and while the news spreads. */
 private const val ALIVE_MILLIS = 1_600L
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
@@ -4,6 +4,7 @@
 import io.netty.channel.EventLoopGroup
 import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.Settling
 import org.bulrushtack.core.exchange.ReturnAdvice
 import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.core.placement.ColdGuard
@@ -51,7 +52,7 @@
     val thread = ForwardThread(loop = group.next() as EventLoop, clock = clock)
     val logs = EventLogs(clock)
     val metrics = ForwardMetrics()
-    val state = ForwardState(daemons)
+    val state = ForwardState(daemons = daemons, settling = Settling(startedAtMillis = clock.nowMillis()))
     val knowledge = KnowledgeBase(
         state = state,
         decoder = platform.facts,
@@ -93,6 +94,7 @@
         store = store,
         follower = follower,
         daemons = daemons,
+        settling = state.settling,
         thread = thread,
         log = logs.of("life"),
     )
@@ -109,7 +111,7 @@
         client = client,
         places = PlaceFinder(
             broker = broker,
-            daemons = daemons,
+            state = state,
             connections = connections,
             health = health,
             thread = thread,
@@ -131,6 +133,13 @@
         log = logs.of("front"),
     )
     val front = ForwardHandler(tools = tools, drain = drain)
+    private var syncs = 0L
+
+    /** Speaks with other daemons when that is due; a young daemon does it oftener, to hear soon who places work. */
+    fun syncWhenDue() {
+        syncs += 1
+        if (syncs % YOUNG_SYNCS == 0L || !state.settling.isOver(clock.nowMillis())) sync.tick()
+    }
 
     /** Registers what is read when the measures are asked for. */
     fun registerGauges() {
@@ -148,3 +157,10 @@
 
 /** Far above a round trip; a connection that takes longer meets a full queue or a dead machine. */
 private const val CONNECT_MILLIS = 500
+
+/** Two syncs and one read of the store fit into the time that a change may take. */
+internal const val SYNC_MILLIS = 400L
+private const val YOUNG_SYNCS = 2L
+
+/** The pause between the syncs of a young daemon. */
+internal const val YOUNG_SYNC_MILLIS = SYNC_MILLIS / YOUNG_SYNCS
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
@@ -3,6 +3,7 @@
 import io.grpc.Server
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.placers
 import org.bulrushtack.forward.ForwardSettings
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpHandler
@@ -43,7 +44,7 @@
             parts.registration.start()
         }
         every(TICK_MILLIS) { tick() }
-        every(SYNC_MILLIS) { parts.sync.tick() }
+        every(YOUNG_SYNC_MILLIS) { parts.syncWhenDue() }
         log.info(
             "The daemon has started.",
             LogField("name", settings.name),
@@ -144,8 +145,5 @@
 )
 
 private const val TICK_MILLIS = 100L
-
-/** Two of these and one read of the store fit into the time that a change may take. */
-private const val SYNC_MILLIS = 400L
 private const val OK = 200
 private const val TEXT = "text/plain; version=0.0.4"
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/Registration.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/Registration.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.forward.life
 
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.Settling
 import org.bulrushtack.core.knowledge.RecordStore
 import org.bulrushtack.core.knowledge.StoreTopic
 import org.bulrushtack.forward.ForwardThread
@@ -14,6 +15,7 @@
     private val store: RecordStore,
     private val follower: StoreFollower,
     private val daemons: DaemonTable,
+    private val settling: Settling,
     private val thread: ForwardThread,
     private val log: EventLog,
 ) {
@@ -32,6 +34,7 @@
 
     private fun registered(rank: Long) {
         daemons.self = daemons.self.copy(rank = rank)
+        settling.registered(thread.nowMillis())
         log.info("This daemon is registered.", LogField("rank", rank), LogField("tries", tries))
         follower.readDaemons()
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -40,7 +40,9 @@
         }
         val first = daemons.ranked(nowMillis).take(ANSWERING).map { it.peerAddress }
         val unheard = daemons.unheardAddresses(nowMillis).filter { probes.isDue(it, nowMillis) }.take(PROBES_AT_ONCE)
-        (first + unheard - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { ask(it, nowMillis) }
+        val unranked = daemons.live(nowMillis).filter { it.rank == null }.take(PROBES_AT_ONCE)
+        val due = first + unranked.map { it.peerAddress } + unheard
+        (due - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { ask(it, nowMillis) }
     }
 
     /** The answer to another daemon's account of itself. */
@@ -88,7 +90,7 @@
             )
         }
         if (daemons.ranked(nowMillis).getOrNull(1)?.name == daemons.self.name) {
-            daemons.liveSightings(nowMillis).forEach { sighting ->
+            daemons.spoken(nowMillis).forEach { sighting ->
                 request.addDaemons(DaemonMessages.toWire(sighting.daemon, nowMillis - sighting.heardAtMillis))
             }
         }
@@ -100,7 +102,17 @@
         val nowMillis = thread.nowMillis()
         hear(nowMillis = nowMillis, record = reply.sender, direct = true)
         probes.answered(reply.sender.peerAddress)
-        views.take(address, reply, askedAtMillis).forEach { hear(it, atMillis = askedAtMillis, direct = false) }
+        val vouched = views.take(address, reply, askedAtMillis)
+        val news = vouched.filterNot { it.name == daemons.self.name || daemons.isLive(it.name, askedAtMillis) }
+        vouched.forEach { daemons.heard(daemon = it, atMillis = askedAtMillis, direct = false) }
+        if (news.isNotEmpty()) {
+            log.info(
+                "Daemons are live, as a peer says.",
+                LogField("peer", reply.sender.name),
+                LogField("count", news.size),
+                LogField("daemons", news.take(NAMED_AT_ONCE).joinToString(",") { it.name }),
+            )
+        }
         reply.batchesList.forEach { batch ->
             val topic = StoreTopic.entries.firstOrNull { it.name == batch.topic }
             if (topic != null) {
@@ -118,7 +130,7 @@
         hear(DaemonMessages.fromWire(record), atMillis = nowMillis - record.ageMillis, direct = direct)
 
     private fun hear(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
-        val isNew = daemon.name != daemons.self.name && daemons.live(atMillis).none { it.name == daemon.name }
+        val isNew = daemon.name != daemons.self.name && !daemons.isLive(daemon.name, atMillis)
         daemons.heard(daemon = daemon, atMillis = atMillis, direct = direct)
         if (isNew) {
             log.info(
@@ -144,8 +156,13 @@
     }
 }
 
+/** The most daemons that one log line names. */
+private const val NAMED_AT_ONCE = 8
+
 /** The daemon that answers for all and the one that follows it. */
 private const val ANSWERING = 2
+
+/** Few enough that many daemons which start together don't all speak with all. */
 private const val PROBES_AT_ONCE = 3
 
 /** Some ten times a round trip between data centres; a daemon that is slower should not place work. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerViews.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerViews.kt
@@ -19,9 +19,9 @@
         views[address]?.let { request.setViewIncarnation(it.incarnation).setViewVersion(it.version) }
     }
 
-    /** Puts into [reply] what the sender of [request] has missed. */
+    /** Puts into [reply] what the sender of [request] has missed of the daemons that spoke to this one. */
     fun addTo(reply: SyncReply.Builder, request: SyncRequest, nowMillis: Long) {
-        changes.update(daemons.live(nowMillis))
+        changes.update(daemons.spoken(nowMillis).map { it.daemon })
         val knows = request.viewIncarnation == daemons.self.incarnation
         val change = changes.since(if (knows) request.viewVersion else 0)
         reply.setViewVersion(change.version).setViewComplete(change.complete).addAllGone(change.gone)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
@@ -1,7 +1,7 @@
 package org.bulrushtack.forward.placement
 
 import org.bulrushtack.core.daemon.DaemonInfo
-import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.placers
 import org.bulrushtack.core.placement.EngineModel
 import org.bulrushtack.core.placement.PlacementDecision
 import org.bulrushtack.core.placement.PlacementOutcome
@@ -11,6 +11,7 @@
 import org.bulrushtack.core.placement.ServerHealth
 import org.bulrushtack.core.route.EngineProfile
 import org.bulrushtack.forward.ForwardThread
+import org.bulrushtack.forward.knowledge.ForwardState
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.peer.PeerConnections
@@ -23,7 +24,7 @@
  */
 internal class PlaceFinder(
     private val broker: PlacementBroker,
-    private val daemons: DaemonTable,
+    private val state: ForwardState,
     private val connections: PeerConnections,
     private val health: ServerHealth,
     private val thread: ForwardThread,
@@ -44,9 +45,20 @@
         private var ended = false
 
         override fun begin() {
-            val placer = daemons.placers(thread.nowMillis()).firstOrNull()
-            val alone = placer == null || placer.name == daemons.self.name || asked >= MAXIMUM_ASKED
-            if (alone) decideHere() else ask(checkNotNull(placer))
+            val placer = state.daemons.placers(thread.nowMillis()).firstOrNull()
+            val alone = placer == null || placer.name == state.daemons.self.name || asked >= MAXIMUM_ASKED
+            when {
+                ended -> Unit
+                alone && mustSettle() -> thread.after(SETTLING_LOOK_MILLIS) { begin() }
+                alone -> decideHere()
+                else -> ask(checkNotNull(placer))
+            }
+        }
+
+        /** A long prompt takes several engines for seconds; two daemons must not give it the same ones. */
+        private fun mustSettle(): Boolean {
+            val isLong = model.readMillis(request.shape.promptTokens) > LONG_READ_MILLIS
+            return isLong && !state.settling.isOver(thread.nowMillis())
         }
 
         override fun cancel() {
@@ -82,7 +94,7 @@
 
         private fun decideHere() {
             decider = null
-            broker.reconcile(taker = daemons.self.name, account = broker.account.residents)
+            broker.reconcile(taker = state.daemons.self.name, account = broker.account.residents)
             broker.placeHere(request) { decide(it) }
         }
 
@@ -104,7 +116,7 @@
         private fun lost(placer: DaemonInfo, reason: String) {
             if (ended) return
             remote = null
-            daemons.failed(placer.peerAddress, thread.nowMillis())
+            state.daemons.failed(placer.peerAddress, thread.nowMillis())
             log.warn(
                 "The placing daemon gave no answer; asking the next.",
                 LogField("request", request.id),
@@ -130,6 +142,10 @@
     }
 }
 
+/** Longer than any short prompt takes to read, and shorter than any that is read on several engines. */
+private const val LONG_READ_MILLIS = 300.0
+private const val SETTLING_LOOK_MILLIS = 50L
+
 /** The placing daemon and the one after it. */
 private const val MAXIMUM_ASKED = 2
 
--- a/soak/src/test/kotlin/org/bulrushtack/soak/SoakTest.kt
+++ b/soak/src/test/kotlin/org/bulrushtack/soak/SoakTest.kt
@@ -54,7 +54,7 @@
         return system.daemons.flatMap { daemon ->
             KINDS.filterNot { kind ->
                 val caller = SoakCaller("s$seed-${daemon.host}-$kind", listOf(daemon), Random(seed), outcomes)
-                generateSequence { caller.call(kind, daemon).answer?.status == OK }
+                generateSequence { caller.call(kind, daemon).answer?.status == OK }.onEach { Thread.sleep(LOOK_MILLIS) }
                     .takeWhile { System.nanoTime() < deadline }
                     .any { it }
             }.map { "${daemon.host} doesn't serve $it" }
@@ -68,6 +68,7 @@
         const val CALLERS = 8
         const val FAULTS = 20
         const val OK = 200
+        const val LOOK_MILLIS = 50L
 
         /** The users' bound on recovery: 12 s. */
         const val RECOVERY_NANOS = 12_000_000_000L
