Daemons that place without knowing of one another spread short prompts

For some hundred milliseconds each daemon placed alone, and all packed short prompts by the same rule onto the same engines. The same holds for daemons that are cut off. Ruled out: the time of the start (requests were placed and sent); waiting until settled (a short prompt has 0.3 s). Change: work placed in a daemon's first moments, or because no placing daemon answers, goes to engines in drawn order without the gain for packing. Before and after: SchedulerTest, 20 daemons with two prompts each on 60 engines: all 40 on the same engines before, at most 4 on one now.

--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineSearch.kt
@@ -1,15 +1,17 @@
 package org.bulrushtack.core.placement
 
 import org.bulrushtack.core.route.EngineProfile
+import kotlin.random.Random
 
 /** Looks for engines for one [request] among [loads]. */
 internal class EngineSearch(
     private val request: PlacementRequest,
-    private val loads: List<EngineLoad>,
+    loads: List<EngineLoad>,
     private val model: EngineModel,
     private val profile: EngineProfile,
     private val nowMillis: Long,
 ) {
+    private val loads = if (request.spread) loads.shuffled(Random(request.id.hashCode())) else loads
     private val neededTokens = request.shape.promptTokens + request.shape.maximumAnswerTokens
     private val wholeReadMillis = model.readMillis(request.shape.promptTokens)
     private val budgetMillis = (request.objectiveAtMillis - nowMillis) * IN_TIME_SHARE
@@ -85,12 +87,12 @@
     private fun writesInTime(load: EngineLoad): Boolean = load.passMillis * load.slowness <= request.pauseMillis
 
     private fun cost(load: EngineLoad, partMillis: Double): Double {
-        val short = partMillis < SHORT_READ_MILLIS
+        val packs = partMillis < SHORT_READ_MILLIS && !request.spread
         val mixed = load.shortestPauseMillis != null && load.shortestPauseMillis != request.pauseMillis
         return load.firstEventMillis(partMillis) +
             (if (mixed) MIXED_COST_MILLIS else 0.0) +
-            (if (short && load.isIdle) IDLE_COST_MILLIS else 0.0) -
-            (if (short) load.writers * PACKING_GAIN_MILLIS else 0.0) +
+            (if (packs && load.isIdle) IDLE_COST_MILLIS else 0.0) -
+            (if (packs) load.writers * PACKING_GAIN_MILLIS else 0.0) +
             (if (load.dataCentre == request.dataCentre) 0.0 else FAR_COST_MILLIS) +
             load.failureRate * FAILURE_COST_MILLIS
     }
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/PlacementRequest.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/PlacementRequest.kt
@@ -8,6 +8,8 @@
  * @property objectiveAtMillis when its first event should reach the caller
  * @property giveUpAtMillis when it is refused if it still has no place
  * @property excluded the ids of servers that have failed it
+ * @property spread whether other daemons may place work at this moment that the deciding one doesn't know of; work that
+ *   each of them packs by the same rules would meet on the same engines
  */
 public data class PlacementRequest(
     val id: String,
@@ -21,4 +23,5 @@
     val objectiveAtMillis: Long,
     val giveUpAtMillis: Long,
     val excluded: Set<String> = emptySet(),
+    val spread: Boolean = false,
 )
--- a/core/src/test/kotlin/org/bulrushtack/core/placement/SchedulerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/SchedulerTest.kt
@@ -137,4 +137,17 @@
 
         ledger.writers("i-0") shouldBe 0
     }
+
+    @Test
+    fun `daemons that place without knowing of one another don't all choose the same engines`() {
+        val chosen = (1..20).flatMap { daemon ->
+            val alone = scheduler(servers = 60)
+            listOf("a", "b").map { request ->
+                val unknowing = request("$daemon-$request", 5_000).copy(spread = true)
+                placed(alone.submit(unknowing, nowMillis = 0)).first.serverId
+            }
+        }
+
+        (chosen.groupingBy { it }.eachCount().values.max() <= 4) shouldBe true
+    }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
@@ -50,7 +50,7 @@
             when {
                 ended -> Unit
                 alone && mustSettle() -> thread.after(SETTLING_LOOK_MILLIS) { begin() }
-                alone -> decideHere()
+                alone -> decideHere(placesForAll = placer?.name == state.daemons.self.name)
                 else -> ask(checkNotNull(placer))
             }
         }
@@ -92,10 +92,11 @@
             }
         }
 
-        private fun decideHere() {
+        private fun decideHere(placesForAll: Boolean) {
+            val knowsAll = placesForAll && state.settling.isOver(thread.nowMillis())
             decider = null
             broker.reconcile(taker = state.daemons.self.name, account = broker.account.residents)
-            broker.placeHere(request) { decide(it) }
+            broker.placeHere(request.copy(spread = !knowsAll)) { decide(it) }
         }
 
         private fun ask(placer: DaemonInfo) {
