--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardParts.kt
@@ -159,7 +159,7 @@
 private const val CONNECT_MILLIS = 500
 
 /** Two syncs and one read of the store fit into the time that a change may take. */
-internal const val SYNC_MILLIS = 400L
+private const val SYNC_MILLIS = 400L
 private const val YOUNG_SYNCS = 2L
 
 /** The pause between the syncs of a young daemon. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/life/ForwardingDaemon.kt
@@ -144,6 +144,7 @@
     leaving = false,
 )
 
+/** A fifth of the pause between two questions to the store, which is the shortest time that ticks measure. */
 private const val TICK_MILLIS = 100L
 private const val OK = 200
 private const val TEXT = "text/plain; version=0.0.4"
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlaceFinder.kt
@@ -152,5 +152,9 @@
 
 /** Some fifty times a round trip between data centres, and half of what a short prompt has to spare. */
 private const val ANSWER_MILLIS = 120L
+
+/** Far above a round trip; the next account makes up for a release that is lost. */
 private const val RELEASE_MILLIS = 1_000L
+
+/** A call must outlive the reply that says that the request was given up. */
 private const val SHORTEST_CALL_MILLIS = 200L
