--- a/soak/src/test/kotlin/org/bulrushtack/soak/SoakDaemon.kt
+++ b/soak/src/test/kotlin/org/bulrushtack/soak/SoakDaemon.kt
@@ -13,26 +13,23 @@
     private val log: Path,
 ) : AutoCloseable {
     private val file = Files.createTempFile("soak", ".ini").also { Files.write(it, ini()) }
-    private var process: Process = start()
 
-    /** Since when the process has run without a signal, on the steady clock. */
     @Volatile
-    var calmSinceNanos = System.nanoTime()
-        private set
+    private var process: Process = start()
+    private val cleanUp = Thread { process.destroyForcibly() }.also { Runtime.getRuntime().addShutdownHook(it) }
 
     val frontPort: Int get() = ports[0]
 
     override fun close() {
         signal("CONT")
         process.destroyForcibly().waitFor()
+        Runtime.getRuntime().removeShutdownHook(cleanUp)
         Files.deleteIfExists(file)
     }
 
     /** Sends a signal by its name. */
     fun signal(name: String) {
-        calmSinceNanos = Long.MAX_VALUE
         ProcessBuilder("kill", "-$name", "${process.pid()}").start().waitFor()
-        if (name == "CONT") calmSinceNanos = System.nanoTime()
     }
 
     /** Whether the process ended within [seconds]. */
@@ -45,7 +42,6 @@
     fun restart() {
         process.destroyForcibly().waitFor()
         process = start()
-        calmSinceNanos = System.nanoTime()
     }
 
     private fun start(): Process = ProcessBuilder(
