Give up a silent send only when another server is in hand that is expected sooner

The limit itself was capped below the predicted time to the first token.

Change: the send goes on while the next placement is requested (StandbyPlacement, UnresponsiveSendReplacement); it is given up when that placement is on another server, expected within the time that the send has been silent, and paid for from the retry budget. The limit is never below the prediction. A later attempt waits for a placement from its own start on, since it can't be refused as not run any more.

Test that failed on: UnresponsiveServerTest "a stream that is slower than the stall limit goes on while no other server is available".

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/AttemptPlacementFactory.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/AttemptPlacementFactory.kt
@@ -21,6 +21,10 @@
         }
     }
 
+    /** The first attempt may still be refused as not run, in time for the caller to go elsewhere; a later one waits. */
+    private fun waitsFromMillis(number: Int): Long =
+        if (number == 0) context.receivedAtMillis else dependencies.thread.nowMillis()
+
     private fun request(shape: PromptShape, number: Int, excluded: Set<String>) = PlacementRequest(
         id = "${context.requestId}-$number",
         ingressDaemon = dependencies.state.daemons.self.name,
@@ -31,7 +35,7 @@
         priority = context.priority,
         receivedAtMillis = dependencies.thread.nowMillis(),
         objectiveAtMillis = context.receivedAtMillis + context.route.objectiveMillis,
-        giveUpAtMillis = minOf(context.receivedAtMillis + context.timeouts.placementMillis, context.deadlineAtMillis),
+        giveUpAtMillis = minOf(waitsFromMillis(number) + context.timeouts.placementMillis, context.deadlineAtMillis),
         excluded = excluded,
     )
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/EngineAttemptPlacement.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/EngineAttemptPlacement.kt
@@ -73,6 +73,8 @@
         LogField("request", request.id),
         LogField("server", decision.placement.first.serverId),
         LogField("helpers", decision.placement.helpers.size),
+        LogField("helper_servers", decision.placement.helpers.joinToString(",") { it.serverId }),
+        LogField("reserved_tokens", decision.placement.helpers.sumOf { it.reservedTokens }),
         LogField("waited_millis", decision.waitedMillis),
         LogField("predicted_millis", decision.placement.timeToFirstTokenMillis.toLong()),
         LogField("left_millis", request.objectiveAtMillis - dependencies.thread.nowMillis()),
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -1,10 +1,7 @@
 package org.bulrushtack.forward.exchange
 
 import org.bulrushtack.core.error.ErrorKind
-import org.bulrushtack.core.exchange.ResendPolicy
 import org.bulrushtack.core.exchange.SendCount
-import org.bulrushtack.core.exchange.SendOutcome
-import org.bulrushtack.core.route.Repeatability
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpExchange
 import java.util.concurrent.ScheduledFuture
@@ -21,6 +18,9 @@
     } else {
         BufferedRelay(exchange)
     }
+    private val resendGate = ResendGate(dependencies = dependencies, context = context, relay = relay)
+    private val replacement =
+        UnresponsiveSendReplacement(dependencies = dependencies, context = context, resendGate = resendGate)
     private val response = FinalResponse(
         dependencies = dependencies,
         context = context,
@@ -48,8 +48,8 @@
         sends = sends.after(result.outcome)
         excluded.add(result.serverId)
         dependencies.metrics.recordSend(result.outcome)
-        val remainingMillis = context.deadlineAtMillis - dependencies.thread.nowMillis()
-        val resend = remainingMillis > MINIMUM_SEND_MILLIS && isResendable(result) && tryWithdrawResend(result.outcome)
+        val isPaid = replacement.takePayment()
+        val resend = resendGate.allows(sends, result.outcome) && (isPaid || resendGate.tryWithdraw(result.outcome))
         dependencies.log.info(
             "A send finished.",
             LogField("request", context.requestId),
@@ -64,24 +64,22 @@
         if (resend) startAttempt() else response.afterSend(result = result, sends = sends)
     }
 
+    override fun onAttemptInactive(reason: String) {
+        val current = attempt ?: return
+        val unsuitable = excluded + listOfNotNull(current.serverId)
+        if (!response.isDone) replacement.request(current, sends = sends, excluded = unsuitable, reason = reason)
+    }
+
     override fun onAttemptRefused(kind: ErrorKind, retryAfterMillis: Long) {
         if (!response.isDone) response.refused(kind = kind, sends = sends, retryAfterMillis = retryAfterMillis)
     }
 
     private fun startAttempt() {
-        val number = sends.arrived + sends.notSent
-        val newAttempt = SendAttempt(dependencies, context, relay, number = number, listener = this)
+        val newAttempt = SendAttempt(dependencies, context, relay, number = sends.total, listener = this)
         attempt = newAttempt
-        newAttempt.start(excluded.toSet())
+        if (!replacement.handTo(newAttempt)) newAttempt.start(excluded.toSet())
     }
 
-    private fun isResendable(result: SendResult): Boolean =
-        ResendPolicy.mayResend(route = context.route, sends = sends, outcome = result.outcome) &&
-            (!relay.isStarted || context.route.repeatability == Repeatability.RESUMABLE)
-
-    private fun tryWithdrawResend(outcome: SendOutcome): Boolean =
-        outcome == SendOutcome.NOT_SENT || dependencies.retryBudgets.tryWithdraw(context.service)
-
     private fun onDeadline() {
         if (response.isDone) return
         val sent = sends.mayHaveRun || attempt?.isSent == true
@@ -97,6 +95,7 @@
 
     private fun onEventRelayed() {
         attempt?.onEventRelayed()
+        replacement.cancel()
         if (firstEventRelayed) return
         firstEventRelayed = true
         dependencies.metrics.recordTimeToFirstEvent(context.route.name, response.ageMillis())
@@ -104,12 +103,10 @@
 
     private fun finished() {
         deadlineTimer?.cancel(false)
+        replacement.cancel()
         onFinished(this)
     }
 }
 
 /** The time that the final response needs to reach the caller. */
 private const val RESPONSE_MARGIN_MILLIS = 20L
-
-/** A send with less time left could not get a response. */
-private const val MINIMUM_SEND_MILLIS = 50L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
@@ -30,7 +30,8 @@
     fun firstResponseTimeoutMillis(target: SendTarget): Long {
         val predicted = target.placement?.timeToFirstTokenMillis ?: return route.objectiveMillis * OBJECTIVE_FACTOR
         val expected = (predicted * PREDICTION_FACTOR).toLong() + PREDICTION_MARGIN_MILLIS
-        return expected.coerceIn(MINIMUM_TIMEOUT_MILLIS, maxOf(MINIMUM_TIMEOUT_MILLIS, timeouts.firstEventMillis))
+        val latest = maxOf(timeouts.firstEventMillis, predicted.toLong() + PREDICTION_MARGIN_MILLIS)
+        return maxOf(MINIMUM_TIMEOUT_MILLIS, minOf(expected, latest))
     }
 }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -14,14 +14,17 @@
     private val number: Int,
     private val listener: SendAttemptListener,
 ) : AttemptPlacementListener {
-    private val inactivityTimer = InactivityTimer(dependencies.thread)
+    /** The progress of the send. */
+    val progress = SendProgress(dependencies.thread, onInactive = { if (!isFinished) listener.onAttemptInactive(it) })
     private var placement: AttemptPlacement? = null
     private var reservations: Reservations? = null
     private var send: BackendSend? = null
-    private var sentAtMillis = 0L
-    private var firstEventMillis: Long? = null
     private var isFinished = false
 
+    /** The server that got the request, or null before the send. */
+    var serverId: String? = null
+        private set
+
     /** Whether any byte of this attempt may have reached a server. */
     val isSent: Boolean get() = send != null
 
@@ -36,20 +39,28 @@
         }
     }
 
+    /** Uses [created], which has selected [target] or will report its selection to this attempt. */
+    fun adopt(created: AttemptPlacement, target: SendTarget?) {
+        placement = created
+        target?.let { onPlaced(it) }
+    }
+
     /** Cancels this attempt with no effect on the server's health record. */
     fun cancel() {
         if (isFinished) return
         isFinished = true
         send?.cancel()
-        inactivityTimer.stop()
+        progress.stop()
         reservations?.release()
         placement?.cancel()
     }
 
     /** Records that an event was sent to the caller. */
-    fun onEventRelayed() {
-        if (firstEventMillis == null) firstEventMillis = dependencies.thread.nowMillis() - sentAtMillis
-        if (isRepeatable()) inactivityTimer.restart(context.timeouts.eventGapMillis) { onInactive("no event in time") }
+    fun onEventRelayed() = progress.recordEvent(context.timeouts.eventGapMillis.takeIf { isRepeatable })
+
+    /** Ends the send, whose server shows no progress, with an unknown outcome. */
+    fun giveUp(reason: String) {
+        send?.timeOut(reason)
     }
 
     override fun onPlaced(target: SendTarget) {
@@ -90,7 +101,7 @@
             )
             return
         }
-        sentAtMillis = nowMillis
+        serverId = target.serverId
         val head = BackendRequestHead(
             serverId = target.serverId,
             workspace = context.workspace?.name,
@@ -104,28 +115,20 @@
         }
         send = backendSend
         backendSend.start(dependencies.client, dependencies.codec.backendRequest(context.request, target.address, head))
-        if (isRepeatable()) {
-            inactivityTimer.restart(context.firstResponseTimeoutMillis(target)) { onInactive("no response in time") }
-        }
+        progress.start(context.firstResponseTimeoutMillis(target).takeIf { isRepeatable })
     }
 
-    private fun isRepeatable(): Boolean = context.route.repeatability != Repeatability.ONCE
-
-    /** Gives up on an unresponsive server only while a resend is allowed; otherwise its response may still arrive. */
-    private fun onInactive(reason: String) {
-        val mayResend = number + 1 < context.route.maximumSends
-        if (mayResend) send?.timeOut(reason)
-    }
+    private val isRepeatable: Boolean get() = context.route.repeatability != Repeatability.ONCE
 
     private fun finish(result: SendResult, attributeToServer: Boolean) {
         if (isFinished) return
         isFinished = true
         if (result.reason == BackendSend.MISDIRECTED) dependencies.state.fleet.markLeaving(result.serverId)
-        inactivityTimer.stop()
+        progress.stop()
         reservations?.release()
         val outcome = if (attributeToServer) placementOutcome(result.outcome) else PlacementOutcome.ABANDONED
-        placement?.release(outcome, result.serverId, firstEventMillis)
-        listener.onAttemptFinished(result.copy(firstEventMillis = firstEventMillis))
+        placement?.release(outcome, result.serverId, progress.firstEventMillis)
+        listener.onAttemptFinished(result.copy(firstEventMillis = progress.firstEventMillis))
     }
 
     private fun placementOutcome(outcome: SendOutcome): PlacementOutcome = when (outcome) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttemptListener.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttemptListener.kt
@@ -7,6 +7,9 @@
     /** The attempt finished, or failed before its send. */
     fun onAttemptFinished(result: SendResult)
 
+    /** The server shows no progress; the attempt goes on. */
+    fun onAttemptInactive(reason: String)
+
     /** The attempt could not be placed. */
     fun onAttemptRefused(kind: ErrorKind, retryAfterMillis: Long)
 }
