Bound bytes without end, and keep late copies of an answer from the next request

Cause, found by tests on: a second copy of an answer on a pooled connection reached the next request (MalformedServerTest got "copy"); blank lines, informational responses or a body without end kept a request open until a timer; an event, comments or an error body without end filled memory or counted as progress; a stream that sent comments only never counted as stalled.

Streams of the own interface have a connection of their own, as a copy that comes after the next request can't be told from its answer.

--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
@@ -11,8 +11,8 @@
 import org.bulrushtack.http.HttpClient
 
 /**
- * Sends completions to model engines over HTTP; the tokens arrive as server-sent events. Connections are reused, since
- * a lost completion may be repeated.
+ * Sends completions to model engines over HTTP; the tokens arrive as server-sent events. Each has a connection of its
+ * own: a late second copy of an answer on a reused one can't be told from the next answer.
  */
 public class HttpEngineClient(
     private val client: HttpClient,
@@ -35,6 +35,7 @@
                 path = "/v1/completions",
                 headers = RequestContextHeaders.of(request.context),
                 body = mapper.writeValueAsBytes(body),
+                dedicatedConnection = true,
             ),
             listener = EngineResponseReader(mapper = mapper, listener = listener),
         )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -10,7 +10,6 @@
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageResponse
 import org.bulrushtack.http.ResponseListener
-import java.io.ByteArrayOutputStream
 
 /** One send of a request to one server, on its own connection. A success is passed to [relay] as it arrives. */
 internal class BackendSend(
@@ -25,7 +24,7 @@
     private var head: BackendResponseHead? = null
     private var status = 0
     private var headers = HttpHeaderList()
-    private val failureBody = ByteArrayOutputStream()
+    private val failureBody = FailureBody()
 
     /** Sends [request]. */
     fun start(client: HttpClient, request: ClientRequest) {
@@ -59,10 +58,10 @@
 
     override fun onData(bytes: ByteArray) {
         if (isFinished) return
-        if (!isSuccess) {
-            if (failureBody.size() < MAXIMUM_FAILURE_BODY_BYTES) failureBody.writeBytes(bytes)
-        } else if (!relay.accept(bytes)) {
-            call?.setReading(false)
+        when (if (isSuccess) relay.accept(bytes) else failureBody.accept(bytes)) {
+            RelayState.READY -> Unit
+            RelayState.BLOCKED -> call?.setReading(false)
+            RelayState.INVALID -> abort(SendOutcome.UNKNOWN, "too many bytes without an event or an end")
         }
     }
 
@@ -110,4 +109,3 @@
 
 @Suppress("MagicNumber")
 private val SUCCESS = 200..299
-private const val MAXIMUM_FAILURE_BODY_BYTES = 65_536
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BufferedRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BufferedRelay.kt
@@ -24,15 +24,11 @@
         buffer = ByteArrayOutputStream()
     }
 
-    override fun accept(bytes: ByteArray): Boolean {
+    override fun accept(bytes: ByteArray): RelayState {
         val open = stream
-        if (open != null) {
-            open.write(bytes)
-            return open.isWritable
-        }
-        buffer.writeBytes(bytes)
-        if (buffer.size() > MAXIMUM_BUFFERED_BYTES) startStreaming()
-        return stream?.isWritable ?: true
+        if (open == null) buffer.writeBytes(bytes) else open.write(bytes)
+        if (open == null && buffer.size() > MAXIMUM_BUFFERED_BYTES) startStreaming()
+        return if (stream?.isWritable ?: true) RelayState.READY else RelayState.BLOCKED
     }
 
     override fun complete() {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResponseRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResponseRelay.kt
@@ -10,8 +10,8 @@
     /** Starts relaying the response of another server; discards what is buffered of the previous one. */
     fun open(status: Int, headers: HttpHeaderList)
 
-    /** Relays [bytes] of the response body; returns false while the caller's connection is not writable. */
-    fun accept(bytes: ByteArray): Boolean
+    /** Relays [bytes] of the response body. */
+    fun accept(bytes: ByteArray): RelayState
 
     /** Completes the response. */
     fun complete()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
@@ -22,6 +22,7 @@
     private var splitter = EventSplitter()
     private var stream: ResponseStream? = null
     private var writableListener: () -> Unit = {}
+    private var commentBytes = 0
 
     var lastEventId: String? = lastEventId
         private set
@@ -30,19 +31,31 @@
 
     override fun open(status: Int, headers: HttpHeaderList) {
         splitter = EventSplitter()
+        commentBytes = 0
         if (!isStarted) {
             this.status = status
             this.headers = headers
         }
     }
 
-    override fun accept(bytes: ByteArray): Boolean {
-        splitter.feed(bytes).filter { isNew(it) }.forEach { event ->
-            event.id?.let { lastEventId = it }
-            openStream().write(event.bytes)
+    override fun accept(bytes: ByteArray): RelayState {
+        splitter.feed(bytes).filter { isNew(it) }.forEach { relay(it) }
+        return when {
+            splitter.pendingBytes + commentBytes > MAXIMUM_EVENT_BYTES -> RelayState.INVALID
+            stream?.isWritable ?: true -> RelayState.READY
+            else -> RelayState.BLOCKED
+        }
+    }
+
+    private fun relay(event: ServerSentEvent) {
+        event.id?.let { lastEventId = it }
+        openStream().write(event.bytes)
+        if (event.isMessage) {
+            commentBytes = 0
             onEvent()
+        } else {
+            commentBytes += event.bytes.size
         }
-        return stream?.isWritable ?: true
     }
 
     override fun complete() {
@@ -71,3 +84,6 @@
             stream = opened
         }
 }
+
+/** About twenty times a usual event, in bytes; also the limit of comments between two events. */
+private const val MAXIMUM_EVENT_BYTES = 65_536
--- a/forward/src/main/kotlin/org/bulrushtack/forward/stream/EventSplitter.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/stream/EventSplitter.kt
@@ -7,6 +7,9 @@
     private var pending = ByteArrayOutputStream()
     private var lineIsEmpty = true
 
+    /** The number of bytes received since the last complete event. */
+    val pendingBytes: Int get() = pending.size()
+
     /** Adds [bytes] and returns the events that are complete now. */
     fun feed(bytes: ByteArray): List<ServerSentEvent> {
         val completed = mutableListOf<ServerSentEvent>()
@@ -31,11 +34,17 @@
 
     private fun takeEvent(): ServerSentEvent {
         val bytes = takeRemainder()
-        val id = bytes.decodeToString().lineSequence().firstOrNull { it.startsWith(ID_FIELD) }
-        return ServerSentEvent(bytes = bytes, id = id?.removePrefix(ID_FIELD)?.trim())
+        val lines = bytes.decodeToString().lineSequence()
+        val id = lines.firstOrNull { it.startsWith(ID_FIELD) }
+        return ServerSentEvent(
+            bytes = bytes,
+            id = id?.removePrefix(ID_FIELD)?.trim(),
+            isMessage = id != null || lines.any { it.startsWith(DATA_FIELD) },
+        )
     }
 }
 
 private const val LINE_FEED = '\n'.code.toByte()
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
+private const val DATA_FIELD = "data"
--- a/forward/src/test/kotlin/org/bulrushtack/forward/stream/EventSplitterTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/stream/EventSplitterTest.kt
@@ -36,6 +36,15 @@
         testSubject.takeRemainder().decodeToString() shouldBe "id: 1\ndata: on"
     }
 
+    @Test
+    fun `a comment is no message, an event with an id or with data is one`() {
+        val testSubject = EventSplitter()
+
+        val events = testSubject.feed(": ping\n\n\nid: 1\n\ndata: a\n\n".toByteArray())
+
+        events.map { it.isMessage } shouldBe listOf(false, false, true, true)
+    }
+
     private companion object {
         const val DRAWS = 50
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -32,6 +33,8 @@
             connected.close()
             return
         }
+        connected.pipeline().get(IdleConnectionHandler::class.java)?.let { connected.pipeline().remove(it) }
+        connected.pipeline().get(HeadSizeLimiter::class.java)?.expectHead()
         connected.pipeline().addLast(this)
         connected.writeAndFlush(ClientMessage.of(request))
     }
@@ -52,13 +55,13 @@
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
         if (finished.get()) return
-        if (message.decoderResult().isFailure) {
-            fail(sent = true, reason = "malformed answer")
-            context.close()
-            return
-        }
         if (message is HttpResponse) informational = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        if (!informational) read(context = context, message = message)
+        when {
+            message.decoderResult().isFailure -> abort("malformed answer")
+            message is HttpResponse && message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
+                abort("the server switches to another protocol")
+            !informational -> read(context = context, message = message)
+        }
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -74,6 +77,7 @@
 
     private fun read(context: ChannelHandlerContext, message: HttpObject) {
         if (message is HttpResponse) {
+            context.pipeline().get(HeadSizeLimiter::class.java)?.headReceived()
             keepAlive = HttpUtil.isKeepAlive(message)
             val headers = message.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
             listener.onHead(status = message.status().code(), headers = HttpHeaderList(entries = headers))
@@ -86,8 +90,12 @@
 
     private fun complete(context: ChannelHandlerContext) {
         if (!finished.compareAndSet(false, true)) return
-        context.pipeline().remove(this)
-        if (keepAlive && !request.dedicatedConnection) onIdle(request.address, context.channel()) else context.close()
+        if (keepAlive && !request.dedicatedConnection) {
+            context.pipeline().replace(this, null, IdleConnectionHandler())
+            onIdle(request.address, context.channel())
+        } else {
+            context.close()
+        }
         listener.onComplete()
     }
 
--- /dev/null
+++ b/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
@@ -0,0 +1,112 @@
+package org.bulrushtack.http
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import io.netty.channel.EventLoopGroup
+import java.util.concurrent.TimeUnit
+
+/** Sends requests to servers whose bytes are no response, or belong to no request. */
+class MalformedServerTest : AnnotationSpec() {
+    private lateinit var group: EventLoopGroup
+    private lateinit var testSubject: HttpClient
+
+    @BeforeEach
+    fun createClient() {
+        group = EventLoops.create(threads = 1)
+        testSubject = HttpClient(group)
+    }
+
+    @AfterEach
+    fun closeGroup() {
+        group.shutdownGracefully()
+    }
+
+    private fun request(server: RawServer) = ClientRequest(method = "GET", address = server.address, path = "/")
+
+    private fun exchange(server: RawServer) =
+        testSubject.exchange(request(server)).get(LIMIT_SECONDS, TimeUnit.SECONDS)
+
+    /** A server that sends [start] and then [part] again and again until the client closes. */
+    private fun endless(start: String, part: String) = RawServer { socket ->
+        RawServer.readRequest(socket)
+        RawServer.send(socket, start)
+        while (true) RawServer.send(socket, part)
+    }
+
+    @Test
+    fun `bytes without end, wherever in a response, end the request and its connection`() {
+        val filler = "x".repeat(1_000)
+        val chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        val cases = mapOf(
+            "blank lines before the status line" to ("" to "\r\n"),
+            "a status line" to ("HTTP/1.1 200 " to filler),
+            "informational responses" to ("" to "HTTP/1.1 103 Early Hints\r\n\r\n"),
+            "one header line" to ("HTTP/1.1 200 OK\r\nX-Long: " to filler),
+            "header lines" to ("HTTP/1.1 200 OK\r\n" to "X-Many: $filler\r\n"),
+            "a body" to ("HTTP/1.1 200 OK\r\n\r\n" to filler),
+            "a chunk's head" to (chunked to "1;$filler"),
+            "chunks" to (chunked to "3e8\r\n$filler\r\n"),
+            "trailers" to ("${chunked}0\r\n" to "X-Many: $filler\r\n"),
+            "bytes that are no response" to ("" to filler),
+            "another protocol" to ("HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" to filler),
+        )
+        cases.forEach { (name, bytes) ->
+            endless(start = bytes.first, part = bytes.second).use { server ->
+                val result = exchange(server)
+
+                result.leftOrNull().shouldNotBeNull { "endless $name" }.sent shouldBe true
+            }
+        }
+    }
+
+    @Test
+    fun `a second copy of a response never reaches the next request on a reused connection`() {
+        val copies = listOf(0L, 50L)
+        copies.forEach { delayMillis ->
+            val server = RawServer { socket ->
+                var number = 0
+                while (RawServer.readRequest(socket)) {
+                    number += 1
+                    val copy = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswer-$number"
+                    RawServer.send(socket, copy)
+                    Thread.sleep(delayMillis)
+                    RawServer.send(socket, copy)
+                }
+            }
+            server.use {
+                repeat(CALLS) {
+                    exchange(server).getOrNull()?.text() shouldBe "answer-1"
+                    Thread.sleep(delayMillis * 2 + PAUSE_MILLIS)
+                }
+                server.accepted.get() shouldBe CALLS
+            }
+        }
+    }
+
+    @Test
+    fun `a copy of a response in pieces doesn't reach the next request as a response without a head`() {
+        val server = RawServer { socket ->
+            while (RawServer.readRequest(socket)) {
+                RawServer.send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nreal")
+                RawServer.send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")
+                Thread.sleep(PAUSE_MILLIS)
+                RawServer.send(socket, "copy")
+            }
+        }
+        server.use {
+            repeat(CALLS) {
+                val text = exchange(server).getOrNull()?.text()
+
+                text shouldBeIn listOf("real", null)
+            }
+        }
+    }
+
+    private companion object {
+        const val LIMIT_SECONDS = 10L
+        const val CALLS = 3
+        const val PAUSE_MILLIS = 20L
+    }
+}
