Keep the daemon alive through an unexpected error in one action

Cause: an error in a repeated action ended its repetition silently (no syncs, no reads of the store), one in the callback of a future was lost without a line, one in a request's handler left a connection without a response.

Change: ForwardThread runs every action and callback of the network thread and reports errors to the log with their place; the server answers 500 and closes when a handler fails.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpRequestRouter.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpRequestRouter.kt
@@ -37,6 +37,7 @@
             RequestError.BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
             RequestError.NO_MEMORY -> ErrorKind.OVERLOADED
             RequestError.INCOMPLETE -> ErrorKind.REQUEST_INCOMPLETE
+            RequestError.HANDLER_FAILED -> ErrorKind.INTERNAL
         }
         log.info { "A request was refused before routing: ${kind.code}." }
         metrics.countProblem(kind)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
@@ -2,18 +2,40 @@
 
 import io.netty.channel.EventLoop
 import org.bulrushtack.core.control.MonotonicClock
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/** The event loop on whose single thread a forwarding daemon runs, with its monotonic clock. */
+/**
+ * The event loop on whose single thread a forwarding daemon runs, with its monotonic clock. An unexpected error in one
+ * action goes to [onError] and ends neither the thread nor the repetition of an action.
+ */
 internal class ForwardThread(
     val loop: EventLoop,
     private val clock: MonotonicClock,
+    private val onError: (Throwable) -> Unit,
 ) {
     /** The current time of the monotonic clock. */
     fun nowMillis(): Long = clock.nowMillis()
 
+    /** Runs [action] on the event loop. */
+    fun execute(action: () -> Unit) = loop.execute { run(action) }
+
     /** Runs [action] on the event loop after [millis]. */
     fun schedule(millis: Long, action: () -> Unit): ScheduledFuture<*> =
-        loop.schedule(action, millis, TimeUnit.MILLISECONDS)
+        loop.schedule({ run(action) }, millis, TimeUnit.MILLISECONDS)
+
+    /** Runs [action] on the event loop every [millis]. */
+    fun repeat(millis: Long, action: () -> Unit) {
+        loop.scheduleAtFixedRate({ run(action) }, 0, millis, TimeUnit.MILLISECONDS)
+    }
+
+    /** Passes the result or the failure of [future] to [action] on the event loop. */
+    fun <T> whenDone(future: CompletableFuture<T>, action: (result: T?, failure: Throwable?) -> Unit) {
+        future.whenCompleteAsync({ result, failure -> run { action(result, failure) } }, loop)
+    }
+
+    private fun run(action: () -> Unit) {
+        runCatching(action).onFailure(onError)
+    }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -45,6 +45,7 @@
             RequestError.BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
             RequestError.NO_MEMORY -> ErrorKind.OVERLOADED
             RequestError.INCOMPLETE -> ErrorKind.REQUEST_INCOMPLETE
+            RequestError.HANDLER_FAILED -> ErrorKind.INTERNAL
         }
         dependencies.metrics.recordProblem(kind)
         dependencies.log.info("A request could not be parsed.", LogField("kind", kind.code))
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
@@ -45,13 +45,11 @@
             return
         }
         val results = reservedParts.map { reserve(it) }.reduce { one, other -> one.thenCombine(other, Boolean::and) }
-        results.thenAcceptAsync(
-            { allReserved ->
-                if (allReserved) scheduleRenewal() else release()
-                if (!isReleased || !allReserved) onDone(allReserved)
-            },
-            thread.loop,
-        )
+        thread.whenDone(results) { succeeded, _ ->
+            val allReserved = succeeded == true
+            if (allReserved) scheduleRenewal() else release()
+            if (!isReleased || !allReserved) onDone(allReserved)
+        }
     }
 
     /** Releases all reservations, including those whose request got no response, as they may have been made. */
@@ -87,20 +85,18 @@
     }
 
     private fun release(part: PlacedPart, attempts: Int) {
-        client.release(part, reservationId(part)).thenAcceptAsync(
-            { response ->
-                if (response.isLeft() && attempts > 1) {
-                    release(part, attempts - 1)
-                } else if (response.isLeft()) {
-                    log.warn(
-                        "A reservation was not released; it will expire.",
-                        LogField("request", sendId),
-                        LogField("server", part.serverId),
-                    )
-                }
-            },
-            thread.loop,
-        )
+        thread.whenDone(client.release(part, reservationId(part))) { response, _ ->
+            val isConfirmed = response?.isRight() ?: false
+            if (!isConfirmed && attempts > 1) {
+                release(part, attempts - 1)
+            } else if (!isConfirmed) {
+                log.warn(
+                    "A reservation was not released; it will expire.",
+                    LogField("request", sendId),
+                    LogField("server", part.serverId),
+                )
+            }
+        }
     }
 
     private fun reservationId(part: PlacedPart): String = "$sendId-${part.serverId}"
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -49,8 +49,12 @@
 
     /** The one network thread. */
     val group: EventLoopGroup = EventLoops.create(threads = 1)
-    val thread = ForwardThread(loop = group.next() as EventLoop, clock = clock)
     val logs = EventLogs(clock)
+    val thread = ForwardThread(
+        loop = group.next() as EventLoop,
+        clock = clock,
+        onError = { logs.forComponent("life").error("An action failed unexpectedly.", it) },
+    )
     val metrics = ForwardMetrics()
     val state = ForwardState(
         daemons = daemons,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -39,12 +39,12 @@
         val scrape = { HttpMessageResponse(STATUS_OK, METRICS_CONTENT_TYPE, components.metrics.scrape().toByteArray()) }
         listen(settings.metricsListen, ImmediateResponseHandler { scrape() })
         peerServer = components.coordination.start(components.group, settings.peerListen)
-        components.thread.loop.execute {
+        components.thread.execute {
             addSeeds(settings)
             components.registration.start()
         }
-        schedule(TICK_INTERVAL_MILLIS) { tick() }
-        schedule(STARTUP_SYNC_INTERVAL_MILLIS) { components.syncWhenDue() }
+        components.thread.repeat(TICK_INTERVAL_MILLIS) { tick() }
+        components.thread.repeat(STARTUP_SYNC_INTERVAL_MILLIS) { components.syncWhenDue() }
         log.info(
             "The daemon has started.",
             LogField("name", settings.name),
@@ -56,7 +56,7 @@
     }
 
     /** Starts the shutdown; the daemon runs until its requests have finished or the grace period is over. */
-    fun drain() = components.thread.loop.execute {
+    fun drain() = components.thread.execute {
         if (!state.draining) {
             state.draining = true
             components.drain.start(components.thread.nowMillis())
@@ -70,7 +70,7 @@
     fun logSettings(sentence: String, fields: List<LogField>) = log.info(sentence, fields)
 
     /** Applies changed settings; listen addresses take effect at the next start. */
-    fun applySettings(changed: ForwardSettings, reason: String) = components.thread.loop.execute {
+    fun applySettings(changed: ForwardSettings, reason: String) = components.thread.execute {
         val needsStart = components.settings.update(changed)
         addSeeds(changed)
         log.info(
@@ -107,10 +107,6 @@
         state.daemons.addPeer(label = it, peerAddress = "$it:${settings.peerListen.port}")
     }
 
-    private fun schedule(millis: Long, action: () -> Unit) {
-        components.thread.loop.scheduleAtFixedRate(action, 0, millis, TimeUnit.MILLISECONDS)
-    }
-
     private fun listen(address: HostAndPort, handler: HttpHandler) {
         HttpServer.start(
             group = components.group,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/Registration.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/Registration.kt
@@ -26,10 +26,10 @@
         attempts += 1
         val self = daemons.self
         val value = DaemonMessages.toWire(self, ageMillis = 0).toByteArray()
-        store.put(topic = StoreTopic.DAEMONS, key = self.name, value = value).thenAcceptAsync(
-            { result -> result.fold(ifLeft = { scheduleRetry(it.reason) }, ifRight = { onRegistered(it) }) },
-            thread.loop,
-        )
+        thread.whenDone(store.put(topic = StoreTopic.DAEMONS, key = self.name, value = value)) { result, failure ->
+            result?.fold(ifLeft = { scheduleRetry(it.reason) }, ifRight = { onRegistered(it) })
+            if (failure != null) scheduleRetry(failure.toString())
+        }
     }
 
     private fun onRegistered(rank: Long) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
@@ -29,8 +29,18 @@
         if (failures.tryAcquire()) logger.at(Level.WARN) { fill(sentence, fields.asList()) }
     }
 
+    /** Writes a line about an unexpected error with the places in the code that it went through. */
+    fun error(sentence: String, cause: Throwable) = warn(
+        sentence,
+        LogField("reason", cause.toString()),
+        LogField("at", cause.stackTrace.take(MAXIMUM_FRAMES).joinToString(" < ")),
+    )
+
     private fun KLoggingEventBuilder.fill(sentence: String, fields: List<LogField>) {
         message = "$prefix $sentence"
         payload = fields.associate { it.name to it.value }
     }
 }
+
+/** Enough to find the place while the line stays readable. */
+private const val MAXIMUM_FRAMES = 6
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -76,13 +76,12 @@
     private fun startSync(address: String, nowMillis: Long) {
         inFlight.add(address)
         val request = request(address, nowMillis)
-        connections.unary(address, CoordinationMethods.SYNC, request, SYNC_TIMEOUT_MILLIS).whenCompleteAsync(
-            { reply, failure ->
-                inFlight.remove(address)
-                if (failure == null) onReply(address, reply, nowMillis) else onFailure(address, failure)
-            },
-            thread.loop,
-        )
+        val result = connections.unary(address, CoordinationMethods.SYNC, request, SYNC_TIMEOUT_MILLIS)
+        thread.whenDone(result) { reply, failure ->
+            inFlight.remove(address)
+            if (reply != null) onReply(address, reply, nowMillis)
+            if (failure != null) onFailure(address, failure)
+        }
     }
 
     private fun request(address: String, nowMillis: Long): SyncRequest {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
@@ -69,7 +69,7 @@
     private fun reviewIfFreed() {
         if (reviewScheduled || !scheduler.hasFreedCapacity()) return
         reviewScheduled = true
-        thread.loop.execute {
+        thread.execute {
             reviewScheduled = false
             review()
         }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.forward.store
 
 import arrow.core.Either
+import arrow.core.left
 import org.bulrushtack.core.platform.PlatformFailure
 import org.bulrushtack.core.store.RecordBatch
 import org.bulrushtack.core.store.RecordStore
@@ -37,15 +38,12 @@
 
     /** Reads the daemons' own records once. */
     fun readDaemons() {
-        store.newest(StoreTopic.DAEMONS).thenAcceptAsync(
-            { reply ->
-                reply.fold(
-                    ifLeft = { log.warn("The daemon records could not be read.", LogField("reason", it.reason)) },
-                    ifRight = { replica.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = SOURCE) },
-                )
-            },
-            thread.loop,
-        )
+        thread.whenDone(store.newest(StoreTopic.DAEMONS)) { reply, failure ->
+            settled(reply, failure).fold(
+                ifLeft = { log.warn("The daemon records could not be read.", LogField("reason", it.reason)) },
+                ifRight = { replica.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = SOURCE) },
+            )
+        }
     }
 
     private fun startPoll(topic: StoreTopic, poll: Poll, nowMillis: Long) {
@@ -53,9 +51,14 @@
         poll.sentAtMillis = nowMillis
         val offset = replica.endOffset(topic)
         val reply = if (offset < 0) store.newest(topic) else store.read(topic, offset, waitMillis = 0)
-        reply.thenAcceptAsync({ onReply(topic, poll, it) }, thread.loop)
+        thread.whenDone(reply) { batch, failure -> onReply(topic, poll, settled(batch, failure)) }
     }
 
+    private fun settled(
+        reply: Either<PlatformFailure, RecordBatch>?,
+        failure: Throwable?,
+    ): Either<PlatformFailure, RecordBatch> = reply ?: PlatformFailure("unexpected: $failure").left()
+
     private fun onReply(topic: StoreTopic, poll: Poll, reply: Either<PlatformFailure, RecordBatch>) {
         val tookMillis = thread.nowMillis() - poll.sentAtMillis
         poll.inFlight = false
--- /dev/null
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/ForwardThreadTest.kt
@@ -0,0 +1,42 @@
+package org.bulrushtack.forward
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.forward.testing.FakeTime
+import java.util.concurrent.CompletableFuture
+
+class ForwardThreadTest : AnnotationSpec() {
+    private lateinit var time: FakeTime
+    private lateinit var testSubject: ForwardThread
+
+    @BeforeEach
+    fun createThread() {
+        time = FakeTime()
+        testSubject = time.thread
+    }
+
+    @Test
+    fun `a repeated action goes on after an unexpected error, which is reported`() {
+        var runs = 0
+        testSubject.repeat(millis = 10) {
+            runs += 1
+            check(runs != 2) { "second run" }
+        }
+
+        time.advance(millis = 50)
+
+        (runs >= 5) shouldBe true
+        time.errors.map { it.message } shouldBe listOf("second run")
+    }
+
+    @Test
+    fun `an unexpected error in the callback of a future is reported`() {
+        val future = CompletableFuture<String>()
+        testSubject.whenDone(future) { result, _ -> error("can't use $result") }
+
+        future.complete("a reply")
+        time.runPendingTasks()
+
+        time.errors.map { it.message } shouldBe listOf("can't use a reply")
+    }
+}
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeTime.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeTime.kt
@@ -11,7 +11,10 @@
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private var now = 0L
 
-    val thread = ForwardThread(loop = channel.eventLoop() as EventLoop, clock = this)
+    /** The unexpected errors of actions on the thread. */
+    val errors = mutableListOf<Throwable>()
+
+    val thread = ForwardThread(loop = channel.eventLoop() as EventLoop, clock = this, onError = { errors.add(it) })
 
     override fun nowMillis(): Long = now
 
--- a/http/src/main/kotlin/org/bulrushtack/http/RequestError.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestError.kt
@@ -9,4 +9,7 @@
     /** The memory for request bodies is used up. */
     NO_MEMORY,
     INCOMPLETE,
+
+    /** The handler failed unexpectedly. */
+    HANDLER_FAILED,
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.util.internal.logging.InternalLoggerFactory
 
 /** Aggregates the requests of one connection and dispatches them to the handler one at a time. */
 internal class ServerConnection(
@@ -47,6 +48,7 @@
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        LOGGER.debug("A connection failed.", cause)
         context.close()
     }
 
@@ -69,7 +71,11 @@
             onComplete = { finishExchange(context) },
         )
         exchange = next
-        handler.handle(next)
+        runCatching { handler.handle(next) }.onFailure { cause ->
+            LOGGER.warn("The handler of a request failed; closing the connection.", cause)
+            next.notifyClosed()
+            if (next.isStarted) context.close() else fail(context, RequestError.HANDLER_FAILED)
+        }
     }
 
     private fun finishExchange(context: ChannelHandlerContext) {
@@ -99,3 +105,5 @@
         }
     }
 }
+
+private val LOGGER = InternalLoggerFactory.getInstance(ServerConnection::class.java)
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -31,6 +31,9 @@
     private val responded = AtomicBoolean(false)
     private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) { shouldKeepAlive() }
 
+    /** Whether the response has started. */
+    val isStarted: Boolean get() = responded.get()
+
     override val isWritable: Boolean get() = channel.isWritable
     override val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
