Renew reserved memory only while the engine that uses it is alive

Ruled out: a lost release (the request was not released at all), late orders.

Change: without an event within the last renewal interval the engine is asked for its load before the leases are renewed; the lease is 80% of the time allowed instead of 85%, for a response that takes its whole timeout.

Test: ReservationsTest "memory is free in time after the engine that uses it has fallen silent without closing the connection"; with the question taken out (isProgressing always true) it failed: 40,000 ms, asked 4,000.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/HttpReservationClient.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/HttpReservationClient.kt
@@ -19,6 +19,9 @@
     override fun release(part: PlacedPart, reservationId: String) =
         send(codec.reservationReleaseRequest(part.address, reservationId))
 
+    override fun isResponsive(address: String): CompletableFuture<Boolean> =
+        send(codec.loadReportRequest(address)).thenApply { it.isRight() }
+
     private fun send(request: ClientRequest): CompletableFuture<Either<HttpFailure, Int>> =
         client.exchange(request.copy(timeoutMillis = REQUEST_TIMEOUT_MILLIS))
             .thenApply { response -> response.map { it.status } }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/Reservations.kt
@@ -10,28 +10,26 @@
 
 /**
  * The memory that one send reserves on several engines: on all of them or none, with leases renewed while the send
- * runs. A reservation that this daemon can no longer release expires.
+ * runs on a live engine: without recent events, that engine is asked before each renewal, as its death would otherwise
+ * show only when the send times out. A reservation that this daemon can no longer release expires.
  *
- * @param sendId identifies this send among those of all daemons
- * @param parts the engines that prefill parts of the prompt
- * @param freeMillis the longest time that memory may stay reserved after its last use
+ * @param isProgressing whether the engine that uses the memory has sent an event within the given time
  */
 internal class Reservations(
     private val client: ReservationClient,
     private val thread: ForwardThread,
     private val log: EventLog,
-    private val sendId: String,
-    private val parts: List<PlacedPart>,
-    freeMillis: Long,
+    private val plan: ReservationPlan,
+    private val isProgressing: (withinMillis: Long) -> Boolean,
 ) {
-    private val leaseMillis = freeMillis * LEASE_PERCENT / PERCENT
+    private val leaseMillis = plan.freeMillis * LEASE_PERCENT / PERCENT
     private val renewalIntervalMillis = leaseMillis * RENEWAL_PERCENT / PERCENT
-    private val reservedParts = parts.filter { it.reservedTokens > 0 }
+    private val reservedParts = plan.parts.filter { it.reservedTokens > 0 }
     private var renewal: ScheduledFuture<*>? = null
     private var isReleased = false
 
     /** The helpers as the request to the first engine lists them. */
-    val helpers: List<PrefillHelper> get() = parts.map { part ->
+    val helpers: List<PrefillHelper> get() = plan.parts.map { part ->
         PrefillHelper(
             address = part.address,
             reservationId = if (part.reservedTokens > 0) reservationId(part) else null,
@@ -67,7 +65,7 @@
             if (!reserved) {
                 log.info(
                     "Memory was not reserved.",
-                    LogField("request", sendId),
+                    LogField("request", plan.sendId),
                     LogField("server", part.serverId),
                     LogField("tokens", part.reservedTokens),
                     LogField("answer", status),
@@ -79,11 +77,31 @@
     private fun scheduleRenewal() {
         if (isReleased) return
         renewal = thread.schedule(renewalIntervalMillis) {
-            reservedParts.forEach { reserve(it) }
+            renewWhileUsed()
             scheduleRenewal()
         }
     }
 
+    private fun renewWhileUsed() {
+        if (isProgressing(renewalIntervalMillis)) {
+            reservedParts.forEach { reserve(it) }
+        } else {
+            thread.whenDone(client.isResponsive(plan.firstAddress)) { responsive, _ ->
+                when {
+                    isReleased -> Unit
+                    responsive == true -> reservedParts.forEach { reserve(it) }
+                    else -> logSilence()
+                }
+            }
+        }
+    }
+
+    private fun logSilence() = log.warn(
+        "The engine that uses reserved memory does not respond; the leases are not renewed.",
+        LogField("request", plan.sendId),
+        LogField("address", plan.firstAddress),
+    )
+
     private fun release(part: PlacedPart, attempts: Int) {
         thread.whenDone(client.release(part, reservationId(part))) { response, _ ->
             val isConfirmed = response?.isRight() ?: false
@@ -92,18 +110,18 @@
             } else if (!isConfirmed) {
                 log.warn(
                     "A reservation was not released; it will expire.",
-                    LogField("request", sendId),
+                    LogField("request", plan.sendId),
                     LogField("server", part.serverId),
                 )
             }
         }
     }
 
-    private fun reservationId(part: PlacedPart): String = "$sendId-${part.serverId}"
+    private fun reservationId(part: PlacedPart): String = "${plan.sendId}-${part.serverId}"
 }
 
-/** The rest of the time within which memory has to be free allows for the transit of the last renewal. */
-private const val LEASE_PERCENT = 85L
+/** The rest of the time within which memory has to be free covers a slow response of the engine that uses it. */
+private const val LEASE_PERCENT = 80L
 
 /** Tolerates the loss of two consecutive renewals. */
 private const val RENEWAL_PERCENT = 30L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -68,9 +68,13 @@
             client = dependencies.reservationClient,
             thread = dependencies.thread,
             log = dependencies.log,
-            sendId = "${context.requestId}-$number",
-            parts = target.helpers,
-            freeMillis = dependencies.reservationFreeMillis(),
+            plan = ReservationPlan(
+                sendId = "${context.requestId}-$number",
+                firstAddress = target.address,
+                parts = target.helpers,
+                freeMillis = dependencies.reservationFreeMillis(),
+            ),
+            isProgressing = { progress.firstEventMillis != null && progress.silentMillis <= it },
         )
         reservations = attemptReservations
         attemptReservations.reserve { succeeded ->
--- a/forward/src/main/kotlin/org/bulrushtack/forward/wire/ExchangeCodec.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/wire/ExchangeCodec.kt
@@ -21,6 +21,9 @@
     /** Returns the request that reserves memory for [tokens] at [address], or renews the lease. */
     fun reservationRequest(address: String, reservationId: String, tokens: Long, leaseMillis: Long): ClientRequest
 
+    /** Returns the request for the load of the engine at [address]. */
+    fun loadReportRequest(address: String): ClientRequest
+
     /** Returns the request that releases a reservation. */
     fun reservationReleaseRequest(address: String, reservationId: String): ClientRequest
 }
--- a/forward/src/test/kotlin/org/bulrushtack/forward/exchange/ReservationsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/exchange/ReservationsTest.kt
@@ -21,9 +21,13 @@
         client = engines,
         thread = time.thread,
         log = EventLogs(time).forComponent("front"),
-        sendId = "request-1-0",
-        parts = parts,
-        freeMillis = freeMillis,
+        plan = ReservationPlan(
+            sendId = "request-1-0",
+            firstAddress = "i-0:80",
+            parts = parts,
+            freeMillis = freeMillis,
+        ),
+        isProgressing = { false },
     )
 
     private fun millisUntilFree(engines: FakeEngineMemory): Long {
@@ -81,6 +85,19 @@
         }
     }
 
+    @Test
+    fun `memory is free in time after the engine that uses it has fallen silent without closing the connection`() {
+        repeat(SEEDS) { seed ->
+            val engines = FakeEngineMemory(time)
+            reservations(engines).reserve { }
+            time.advance(10 + Random(seed).nextLong(2 * FREE_MILLIS))
+
+            engines.responsive = false
+
+            millisUntilFree(engines) shouldBeLessThanOrEqual FREE_MILLIS
+        }
+    }
+
     @Test
     fun `memory is free in time after the release, even if some requests are lost`() {
         repeat(SEEDS) { seed ->
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeEngineMemory.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeEngineMemory.kt
@@ -23,6 +23,9 @@
     /** Whether the daemon's requests leave its VM. */
     var connected = true
 
+    /** Whether the engine that uses the memory responds. */
+    var responsive = true
+
     /** The number of reservations that are in force. */
     val reservationCount: Int get() = expiresAtMillis.values.count { it > time.nowMillis() }
 
@@ -35,6 +38,13 @@
         }
     }
 
+    override fun isResponsive(address: String): CompletableFuture<Boolean> {
+        val response = CompletableFuture<Boolean>()
+        val responds = responsive
+        time.thread.schedule(if (responds) 2 * delayMillis else TIMEOUT_MILLIS) { response.complete(responds) }
+        return response
+    }
+
     override fun release(part: PlacedPart, reservationId: String) = request(reservationId) {
         expiresAtMillis.remove(reservationId)
         OK
