Log how a server's response was framed and what was left of an event

Change: the line 'A send finished' has framing (length, chunked, connection_end) and unfinished_bytes. No decision uses them yet.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -9,6 +9,7 @@
 import org.bulrushtack.http.HttpFailure
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageResponse
+import org.bulrushtack.http.ResponseFraming
 import org.bulrushtack.http.ResponseListener
 
 /** One send of a request to one server, on its own connection. A success is passed to [relay] as it arrives. */
@@ -25,6 +26,7 @@
     private var status = 0
     private var headers = HttpHeaderList()
     private val failureBody = FailureBody()
+    private var unfinishedBytes = 0
 
     /** Sends [request]. */
     fun start(client: HttpClient, request: ClientRequest) {
@@ -68,6 +70,7 @@
     override fun onComplete() {
         if (isFinished) return
         if (isSuccess) {
+            unfinishedBytes = relay.unfinishedBytes
             relay.complete()
             finish(outcome = SendOutcome.DELIVERED, reason = "whole")
         } else {
@@ -76,6 +79,7 @@
     }
 
     override fun onFailure(failure: HttpFailure) {
+        if (head != null) unfinishedBytes = relay.unfinishedBytes
         val outcome = if (failure.sent) SendOutcome.UNKNOWN else SendOutcome.NOT_SENT
         finish(outcome = outcome, reason = failure.reason)
     }
@@ -97,8 +101,16 @@
     private fun finish(outcome: SendOutcome, reason: String, failure: HttpMessageResponse? = null) {
         if (isFinished) return
         isFinished = true
-        val serverId = target.responsibleServerId(head?.faultyAddress)
-        onFinished(SendResult(outcome = outcome, reason = reason, serverId = serverId, failure = failure))
+        onFinished(
+            SendResult(
+                outcome = outcome,
+                reason = reason,
+                serverId = target.responsibleServerId(head?.faultyAddress),
+                failure = failure,
+                framing = head?.let { ResponseFraming.of(headers) },
+                unfinishedBytes = unfinishedBytes,
+            ),
+        )
     }
 
     companion object {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -56,6 +56,8 @@
             LogField("server", result.serverId),
             LogField("outcome", result.outcome.name.lowercase()),
             LogField("reason", result.reason),
+            LogField("framing", result.framing?.name?.lowercase()),
+            LogField("unfinished_bytes", result.unfinishedBytes),
             LogField("sends", sends.arrived),
             LogField("again", resend),
             LogField("first_event_millis", result.firstEventMillis),
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResponseRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResponseRelay.kt
@@ -7,6 +7,9 @@
     /** Whether any part of the response was sent to the caller, so that no other response can replace it. */
     val isStarted: Boolean
 
+    /** The bytes of an event that has started and isn't complete; always 0 for a response without events. */
+    val unfinishedBytes: Int get() = 0
+
     /** Starts relaying the response of another server; discards what is buffered of the previous one. */
     fun open(status: Int, headers: HttpHeaderList)
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
@@ -28,6 +28,7 @@
         private set
 
     override val isStarted: Boolean get() = stream != null
+    override val unfinishedBytes: Int get() = splitter.pendingBytes
 
     override fun open(status: Int, headers: HttpHeaderList) {
         splitter = EventSplitter()
