Take a stream that ends within an event for broken off

What callers saw: a 200 with the server's signature, a proper end and a part of the stream (ORDER); the last bytes were half an event. Cause: a response with neither a length nor chunks is complete for the HTTP codec when its connection ends, and StreamRelay handed on what was left of an event and ended its own, chunked response. The daemon turned an end that says nothing into one that vouches for the whole. Class: the end of a transport taken for the end of a message. Ruled out: the relay completed after a noticed break (the log has 'delivered'). Change: a stream is cut short when bytes of an event are left over, whatever its framing, or when its connection ends it before any event. It then counts like a reset: resumed at another server where the route allows it, else broken off. Left: a server that breaks off without framing exactly between two events can't be told from one that is done; nothing on the wire tells them apart.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -26,7 +26,6 @@
     private var status = 0
     private var headers = HttpHeaderList()
     private val failureBody = FailureBody()
-    private var unfinishedBytes = 0
 
     /** Sends [request]. */
     fun start(client: HttpClient, request: ClientRequest) {
@@ -69,17 +68,19 @@
 
     override fun onComplete() {
         if (isFinished) return
-        if (isSuccess) {
-            unfinishedBytes = relay.unfinishedBytes
-            relay.complete()
-            finish(outcome = SendOutcome.DELIVERED, reason = "whole")
-        } else {
-            finish(outcome = SendOutcome.ANSWERED_WITH_FAILURE, reason = "status $status", failure = failure())
+        when {
+            !isSuccess ->
+                finish(outcome = SendOutcome.ANSWERED_WITH_FAILURE, reason = "status $status", failure = failure())
+            relay.isCutShort(ResponseFraming.of(headers)) ->
+                finish(outcome = SendOutcome.UNKNOWN, reason = "the response ended before its last event was complete")
+            else -> {
+                relay.complete()
+                finish(outcome = SendOutcome.DELIVERED, reason = "whole")
+            }
         }
     }
 
     override fun onFailure(failure: HttpFailure) {
-        if (head != null) unfinishedBytes = relay.unfinishedBytes
         val outcome = if (failure.sent) SendOutcome.UNKNOWN else SendOutcome.NOT_SENT
         finish(outcome = outcome, reason = failure.reason)
     }
@@ -108,7 +109,7 @@
                 serverId = target.responsibleServerId(head?.faultyAddress),
                 failure = failure,
                 framing = head?.let { ResponseFraming.of(headers) },
-                unfinishedBytes = unfinishedBytes,
+                unfinishedBytes = if (head == null) 0 else relay.unfinishedBytes,
             ),
         )
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResponseRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResponseRelay.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.forward.exchange
 
 import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.ResponseFraming
 
 /** Relays a backend server's response to the caller. */
 internal interface ResponseRelay {
@@ -16,6 +17,9 @@
     /** Relays [bytes] of the response body. */
     fun accept(bytes: ByteArray): RelayState
 
+    /** Whether a response with [framing] that ends now has been broken off, although its framing is complete. */
+    fun isCutShort(framing: ResponseFraming): Boolean = false
+
     /** Completes the response. */
     fun complete()
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.forward.stream.ServerSentEvent
 import org.bulrushtack.http.HttpExchange
 import org.bulrushtack.http.HttpHeaderList
+import org.bulrushtack.http.ResponseFraming
 import org.bulrushtack.http.ResponseStream
 
 /**
@@ -23,6 +24,7 @@
     private var stream: ResponseStream? = null
     private var writableListener: () -> Unit = {}
     private var commentBytes = 0
+    private var hasEvents = false
 
     var lastEventId: String? = lastEventId
         private set
@@ -33,6 +35,7 @@
     override fun open(status: Int, headers: HttpHeaderList) {
         splitter = EventSplitter()
         commentBytes = 0
+        hasEvents = false
         if (!isStarted) {
             this.status = status
             this.headers = headers
@@ -40,7 +43,9 @@
     }
 
     override fun accept(bytes: ByteArray): RelayState {
-        splitter.feed(bytes).filter { isNew(it) }.forEach { relay(it) }
+        val events = splitter.feed(bytes)
+        hasEvents = hasEvents || events.any { it.isMessage }
+        events.filter { isNew(it) }.forEach { relay(it) }
         return when {
             splitter.pendingBytes + commentBytes > MAXIMUM_EVENT_BYTES -> RelayState.INVALID
             stream?.isWritable ?: true -> RelayState.READY
@@ -59,11 +64,11 @@
         }
     }
 
-    override fun complete() {
-        val remainder = splitter.takeRemainder()
-        if (remainder.isNotEmpty()) openStream().write(remainder)
-        openStream().end()
-    }
+    /** A connection that ends before the first event says nothing; a sender that breaks off ends it as well. */
+    override fun isCutShort(framing: ResponseFraming): Boolean =
+        unfinishedBytes > 0 || (framing == ResponseFraming.CONNECTION_END && !hasEvents)
+
+    override fun complete() = openStream().end()
 
     override fun abort() = exchange.abort()
 
