Fail a request whose sending fails, rather than let its close complete the response

What callers would see: the first bytes of an answer as the whole of it, when a server answers with neither a length nor chunks and resets while the request's body is still being sent. Cause: the transport closes the connection on the failed write; the codec sees only the close, which completes a response without framing. Reads report the reset first, writes did not. Change: ClientExchange fails when its request could not be written. A response that was complete before that stays complete. Looked at as well: engines of the own interface (only the final event completes an answer), messages between daemons (framed by gRPC), the store's pages (JSON) and records (each with a length; the next read goes on at the offset after the last whole one).

--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -36,7 +36,9 @@
         connected.pipeline().get(IdleConnectionHandler::class.java)?.let { connected.pipeline().remove(it) }
         connected.pipeline().get(HeadSizeLimiter::class.java)?.expectHead()
         connected.pipeline().addLast(this)
-        connected.writeAndFlush(ClientMessage.of(request))
+        connected.writeAndFlush(ClientMessage.of(request)).addListener { written ->
+            if (!written.isSuccess) abort(reason = "the request could not be sent: ${written.cause()}")
+        }
     }
 
     override fun cancel() = abort(reason = "cancelled")
--- a/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
@@ -104,7 +104,29 @@
         }
     }
 
+    // Guards against a response that the reset of its own request completes: the codec gets no error, only the close.
+    @Test
+    fun `a reset while the request is still being sent doesn't complete a response without a length`() {
+        val server = RawServer { socket ->
+            RawServer.readRequest(socket)
+            RawServer.send(socket, "HTTP/1.1 200 OK\r\n\r\nhalf")
+            Thread.sleep(PAUSE_MILLIS)
+            socket.setSoLinger(true, 0)
+        }
+        server.use {
+            repeat(RESETS) {
+                val large = request(server).copy(method = "POST", body = ByteArray(LARGE_BODY_BYTES))
+
+                val result = testSubject.exchange(large).get(LIMIT_SECONDS, TimeUnit.SECONDS)
+
+                result.leftOrNull().shouldNotBeNull().sent shouldBe true
+            }
+        }
+    }
+
     private companion object {
+        const val RESETS = 20
+        const val LARGE_BODY_BYTES = 16_000_000
         const val LIMIT_SECONDS = 10L
         const val CALLS = 3
         const val PAUSE_MILLIS = 20L
