Log the shared parts of a prompt whose send was broken

Cause: the log could not tell engines that crash under one part of a prompt from engines that crash under load or by chance, since it names no parts. Change: a caller's head has the ids of the parts that other requests may share, and 'A send finished' names them where the outcome is unknown. No decision uses them.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -2,6 +2,7 @@
 
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.exchange.SendCount
+import org.bulrushtack.core.exchange.SendOutcome
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpExchange
 import java.util.concurrent.ScheduledFuture
@@ -58,6 +59,7 @@
             LogField("reason", result.reason),
             LogField("framing", result.framing?.name?.lowercase()),
             LogField("unfinished_bytes", result.unfinishedBytes),
+            LogField("shared_parts", sharedPartsToLog(result)),
             LogField("sends", sends.arrived),
             LogField("again", resend),
             LogField("first_event_millis", result.firstEventMillis),
@@ -66,6 +68,10 @@
         if (resend) startAttempt() else response.afterSend(result = result, sends = sends)
     }
 
+    /** Only broken sends are worth the bytes: what they share tells what a server ended under. */
+    private fun sharedPartsToLog(result: SendResult): String? =
+        if (result.outcome == SendOutcome.UNKNOWN) context.caller.sharedParts.joinToString(",") else null
+
     override fun onAttemptInactive(reason: String) {
         val current = attempt ?: return
         val unsuitable = excluded + listOfNotNull(current.serverId)
