Quarantine parts of prompts under which servers crash

Cause: a broken send counted against the server's health alone, and the limits on resends hold for one request. Nothing remembered what a server had ended under, and daemons told one another nothing about it. Class: a request that kills its server, retried and repeated without a memory across requests, machines and starts. Ruled out: load (the repeated requests crash idle engines as well), chance. Change: a server that closes the connection before its second event makes the shared parts of that prompt suspects, but for those answered within the last minute. A part in four crashes is kept from servers for two minutes, in five for half an hour: refused at once as not run (503, prompt-quarantined), also before each resend and each send from the queue. Crashes that one part explains don't count against the parts that came with it. Crashes and answers are records of the platform's store, read like the others, so that daemons that start later or reach no peer know them too.

--- a/core/src/main/kotlin/org/bulrushtack/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/error/ErrorKind.kt
@@ -142,6 +142,13 @@
         retryAdvice = RetryAdvice.LATER,
         text = "The system has no room for the request now.",
     ),
+    PROMPT_QUARANTINED(
+        code = "prompt-quarantined",
+        status = 503,
+        runState = RunState.NO,
+        retryAdvice = RetryAdvice.LATER,
+        text = "Backend servers have ended under a part of this prompt; no more of them get it for now.",
+    ),
     NO_BACKEND_SERVER(
         code = "no-backend-server",
         status = 503,
--- a/core/src/main/kotlin/org/bulrushtack/core/store/RecordStore.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/RecordStore.kt
@@ -16,6 +16,9 @@
         waitMillis: Long,
     ): CompletableFuture<Either<PlatformFailure, RecordBatch>>
 
-    /** Writes the record of [key] and returns its offset; after a failure the record may or may not be stored. */
+    /**
+     * Writes the record of [key] and returns its offset; an empty [value] deletes the key. After a failure the record
+     * may or may not be stored.
+     */
     public fun put(topic: StoreTopic, key: String, value: ByteArray): CompletableFuture<Either<PlatformFailure, Long>>
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/store/StoreTopic.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/StoreTopic.kt
@@ -11,6 +11,9 @@
     /** The entries of the daemons themselves. */
     DAEMONS,
 
+    /** The backend servers that ended under requests, and the prompt parts that were answered since. */
+    CRASHES,
+
     /** The list of VMs that daemons with an interface of their own use. */
     VMS,
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -72,7 +72,7 @@
             !isSuccess ->
                 finish(outcome = SendOutcome.ANSWERED_WITH_FAILURE, reason = "status $status", failure = failure())
             relay.isCutShort(ResponseFraming.of(headers)) ->
-                finish(outcome = SendOutcome.UNKNOWN, reason = "the response ended before its last event was complete")
+                finish(SendOutcome.UNKNOWN, "the response ended before its last event was complete", isBrokenOff = true)
             else -> {
                 relay.complete()
                 finish(outcome = SendOutcome.DELIVERED, reason = "whole")
@@ -82,7 +82,7 @@
 
     override fun onFailure(failure: HttpFailure) {
         val outcome = if (failure.sent) SendOutcome.UNKNOWN else SendOutcome.NOT_SENT
-        finish(outcome = outcome, reason = failure.reason)
+        finish(outcome = outcome, reason = failure.reason, isBrokenOff = failure.sent)
     }
 
     private val isSuccess: Boolean get() = status in SUCCESS
@@ -99,7 +99,12 @@
         headers = codec.callerResponseHeaders(headers),
     )
 
-    private fun finish(outcome: SendOutcome, reason: String, failure: HttpMessageResponse? = null) {
+    private fun finish(
+        outcome: SendOutcome,
+        reason: String,
+        failure: HttpMessageResponse? = null,
+        isBrokenOff: Boolean = false,
+    ) {
         if (isFinished) return
         isFinished = true
         onFinished(
@@ -108,6 +113,7 @@
                 reason = reason,
                 serverId = target.responsibleServerId(head?.faultyAddress),
                 failure = failure,
+                isBrokenOff = isBrokenOff,
                 framing = head?.let { ResponseFraming.of(headers) },
                 unfinishedBytes = if (head == null) 0 else relay.unfinishedBytes,
             ),
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -7,6 +7,7 @@
 import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.placement.PlacementClient
+import org.bulrushtack.forward.quarantine.CrashReports
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.wire.ExchangeCodec
 import org.bulrushtack.http.HttpClient
@@ -20,6 +21,7 @@
     val placementClient: PlacementClient,
     val plainServerSelector: PlainServerSelector,
     val health: ServerHealth,
+    val crashReports: CrashReports,
     val retryBudgets: RetryBudgets,
     val reservationClient: ReservationClient,
     val reservationFreeMillis: () -> Long,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResendGate.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ResendGate.kt
@@ -15,6 +15,7 @@
     fun allows(sends: SendCount, outcome: SendOutcome): Boolean {
         val leftMillis = context.deadlineAtMillis - dependencies.thread.nowMillis()
         return leftMillis > MINIMUM_SEND_MILLIS &&
+            dependencies.crashReports.quarantineMillis(context.caller.sharedParts) == 0L &&
             ResendPolicy.mayResend(route = context.route, sends = sends, outcome = outcome) &&
             (!relay.isStarted || context.route.repeatability == Repeatability.RESUMABLE)
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -16,6 +16,7 @@
 ) : AttemptPlacementListener {
     /** The progress of the send. */
     val progress = SendProgress(dependencies.thread, onInactive = { if (!isFinished) listener.onAttemptInactive(it) })
+    private val crashObserver = CrashObserver(reports = dependencies.crashReports, parts = context.caller.sharedParts)
     private var placement: AttemptPlacement? = null
     private var reservations: Reservations? = null
     private var send: BackendSend? = null
@@ -30,6 +31,7 @@
 
     /** Starts the placement on a server that is not in [excluded]. */
     fun start(excluded: Set<String>) {
+        if (refuseIfQuarantined()) return
         val created = AttemptPlacementFactory(dependencies, context).create(number, excluded, this)
         placement = created
         if (created == null) {
@@ -56,7 +58,10 @@
     }
 
     /** Records that an event was sent to the caller. */
-    fun onEventRelayed() = progress.recordEvent(context.timeouts.eventGapMillis.takeIf { isRepeatable })
+    fun onEventRelayed() {
+        progress.recordEvent(context.timeouts.eventGapMillis.takeIf { isRepeatable })
+        crashObserver.onEventRelayed()
+    }
 
     /** Ends the send, whose server shows no progress, with an unknown outcome. */
     fun giveUp(reason: String) {
@@ -95,8 +100,18 @@
         listener.onAttemptRefused(kind, retryAfterMillis)
     }
 
+    /** Servers may have crashed under parts of the prompt while it waited; then it reaches no other. */
+    private fun refuseIfQuarantined(): Boolean {
+        val quarantineMillis = dependencies.crashReports.quarantineMillis(context.caller.sharedParts)
+        if (quarantineMillis == 0L) return false
+        cancel()
+        listener.onAttemptRefused(ErrorKind.PROMPT_QUARANTINED, quarantineMillis)
+        return true
+    }
+
     /** Checks again that the server is usable, as it may have started leaving (draining) after its selection. */
     private fun send(target: SendTarget, attemptReservations: Reservations) {
+        if (refuseIfQuarantined()) return
         val nowMillis = dependencies.thread.nowMillis()
         if (dependencies.state.fleet.usable(target.serverId, nowMillis) == null) {
             finish(
@@ -127,6 +142,7 @@
     private fun finish(result: SendResult, attributeToServer: Boolean) {
         if (isFinished) return
         isFinished = true
+        crashObserver.onFinished(result)
         if (result.reason == BackendSend.MISDIRECTED) dependencies.state.fleet.markLeaving(result.serverId)
         progress.stop()
         reservations?.release()
@@ -134,13 +150,13 @@
         placement?.release(outcome, result.serverId, progress.firstEventMillis)
         listener.onAttemptFinished(result.copy(firstEventMillis = progress.firstEventMillis))
     }
+}
 
-    private fun placementOutcome(outcome: SendOutcome): PlacementOutcome = when (outcome) {
-        SendOutcome.DELIVERED -> PlacementOutcome.SUCCEEDED
-        SendOutcome.NOT_RUN -> PlacementOutcome.REJECTED
-        SendOutcome.ANSWERED_WITH_FAILURE -> PlacementOutcome.ANSWERED_WITH_FAILURE
-        SendOutcome.NOT_SENT, SendOutcome.UNKNOWN -> PlacementOutcome.FAILED
-    }
+private fun placementOutcome(outcome: SendOutcome): PlacementOutcome = when (outcome) {
+    SendOutcome.DELIVERED -> PlacementOutcome.SUCCEEDED
+    SendOutcome.NOT_RUN -> PlacementOutcome.REJECTED
+    SendOutcome.ANSWERED_WITH_FAILURE -> PlacementOutcome.ANSWERED_WITH_FAILURE
+    SendOutcome.NOT_SENT, SendOutcome.UNKNOWN -> PlacementOutcome.FAILED
 }
 
 /** Priorities in the configuration are 0, 1, 2, ...; servers accept 0 to 9. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendResult.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendResult.kt
@@ -8,6 +8,7 @@
  * The result of one send.
  *
  * @property serverId the server to which the outcome is attributed
+ * @property isBrokenOff whether the server closed the connection before its response was complete
  * @property framing how the end of the response was marked, or null when no head arrived
  * @property unfinishedBytes the bytes of a started event that were received when the send ended
  * @property firstEventMillis the time from the send to the first event that reached the caller, or null
@@ -18,6 +19,7 @@
     val reason: String,
     val serverId: String,
     val failure: HttpMessageResponse? = null,
+    val isBrokenOff: Boolean = false,
     val framing: ResponseFraming? = null,
     val unfinishedBytes: Int = 0,
     val firstEventMillis: Long? = null,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -11,6 +11,7 @@
 import org.bulrushtack.core.placement.PlainServerSelector
 import org.bulrushtack.core.placement.Scheduler
 import org.bulrushtack.core.placement.ServerHealth
+import org.bulrushtack.core.quarantine.PromptQuarantine
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.ForwardMetrics
 import org.bulrushtack.forward.ForwardSettings
@@ -27,6 +28,8 @@
 import org.bulrushtack.forward.peer.PeerSync
 import org.bulrushtack.forward.placement.PlacementBroker
 import org.bulrushtack.forward.placement.PlacementClient
+import org.bulrushtack.forward.quarantine.CrashRecordWriter
+import org.bulrushtack.forward.quarantine.CrashReports
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.store.PeerRecords
 import org.bulrushtack.forward.store.StoreFollower
@@ -44,6 +47,7 @@
     seed: Long,
 ) {
     private val clock: MonotonicClock = SystemMonotonicClock()
+    private val random = Random(seed)
     val settings = LiveSettings(settings)
     val bodyMemory = BodyMemory(maximumBytes = settings.bodyMemoryBytes)
 
@@ -60,15 +64,24 @@
         daemons = daemons,
         startupGracePeriod = StartupGracePeriod(startedAtMillis = clock.nowMillis()),
     )
+    private val client = HttpClient(group = group, connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS)
+    private val store = platform.store(client = client, address = settings.storeAddress.toString())
+    val crashReports = CrashReports(
+        quarantine = PromptQuarantine(),
+        writer = CrashRecordWriter(store = store, thread = thread, log = logs.forComponent("quarantine")),
+        writerId = "${daemons.self.name}-${daemons.self.incarnation}",
+        announcementDelayMillis = { random.nextLong(daemons.knownCount * ANNOUNCEMENT_MILLIS_PER_DAEMON) },
+        thread = thread,
+        log = logs.forComponent("quarantine"),
+    )
     val replica = StoreReplica(
         state = state,
         decoder = platform.recordDecoder,
         peers = PeerRecords(daemons = daemons, log = logs.forComponent("peers")),
+        crashReports = crashReports,
         clock = clock,
         log = logs.forComponent("knowledge"),
     )
-    private val client = HttpClient(group = group, connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS)
-    private val store = platform.store(client = client, address = settings.storeAddress.toString())
     val follower = StoreFollower(
         store = store,
         replica = replica,
@@ -76,7 +89,6 @@
         metrics = metrics,
         log = logs.forComponent("store"),
     )
-    private val random = Random(seed)
     private val retryAfterPolicy = RetryAfterPolicy(random)
     private val health = ServerHealth()
     val scheduler = Scheduler(
@@ -130,6 +142,7 @@
             random = random,
         ),
         health = health,
+        crashReports = crashReports,
         retryBudgets = RetryBudgets(
             ratio = { this.settings.current.retryRatio },
             slack = { this.settings.current.retrySlack },
@@ -157,6 +170,7 @@
         metrics.gauge("bulrushtack.forward.active") { front.activeCount }
         metrics.gauge("bulrushtack.forward.body.bytes") { bodyMemory.reservedBytes }
         metrics.gauge("bulrushtack.forward.waiting") { scheduler.waiting }
+        metrics.gauge("bulrushtack.forward.quarantined.groups") { crashReports.quarantinedGroups }
         metrics.gauge("bulrushtack.forward.servers") { state.fleet.size }
         metrics.gauge("bulrushtack.forward.configuration.version") { state.routing?.configuration?.version ?: -1 }
         StoreTopic.entries.forEach { topic ->
@@ -173,5 +187,8 @@
 private const val SYNC_INTERVAL_MILLIS = 400L
 private const val STARTUP_SYNC_FACTOR = 2L
 
+/** Spreads what several daemons announce at the same time, so that the first can spare the others. */
+private const val ANNOUNCEMENT_MILLIS_PER_DAEMON = 10L
+
 /** The interval between syncs during the startup grace period. */
 internal const val STARTUP_SYNC_INTERVAL_MILLIS = SYNC_INTERVAL_MILLIS / STARTUP_SYNC_FACTOR
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -91,7 +91,9 @@
             state.daemons.self = self.copy(ready = state.isReady)
             log.info("Readiness changed.", LogField("ready", state.isReady), LogField("draining", state.draining))
         }
-        components.follower.tick(isReader = state.daemons.leaderCandidates(nowMillis).firstOrNull()?.name == self.name)
+        val isReader = state.daemons.leaderCandidates(nowMillis).firstOrNull()?.name == self.name
+        components.follower.tick(isReader)
+        components.crashReports.tick(isReader)
         state.fleet.removeExpired(nowMillis)
         components.logs.reportSuppressed()
         val idle = components.front.activeCount == 0 && components.drain.mayExit(nowMillis)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -12,8 +12,9 @@
 import org.bulrushtack.forward.log.LogField
 
 /**
- * Polls the operators' records and the entries of backend servers from the store. One daemon polls often and passes
- * the records on to the others; a daemon that has received none for a while polls the store itself.
+ * Polls the operators' records, the entries of backend servers and the reports of their crashes from the store. One
+ * daemon polls often and passes the records on to the others; a daemon that has received none for a while polls the
+ * store itself.
  */
 internal class StoreFollower(
     private val store: RecordStore,
@@ -91,7 +92,7 @@
 }
 
 private const val SOURCE = "store"
-private val POLLED_TOPICS = listOf(StoreTopic.OPERATOR, StoreTopic.BACKEND_SERVERS)
+private val POLLED_TOPICS = listOf(StoreTopic.OPERATOR, StoreTopic.BACKEND_SERVERS, StoreTopic.CRASHES)
 
 /** A change has two seconds to reach every daemon; it may wait half a second here, the rest is for the syncs. */
 private const val POLL_INTERVAL_MILLIS = 500L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -10,12 +10,14 @@
 import org.bulrushtack.core.store.TopicReplica
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.forward.quarantine.CrashReports
 
 /** Merges records from the platform's store and from peers, and applies their updates to [state]. */
 internal class StoreReplica(
     private val state: ForwardState,
     private val decoder: StoreRecordDecoder,
     private val peers: PeerRecords,
+    private val crashReports: CrashReports,
     private val clock: MonotonicClock,
     private val log: EventLog,
 ) {
@@ -29,9 +31,13 @@
         val dropDelayMillis = if (ageMillis(topic) > STORE_OUTAGE_MILLIS) LAPSED_ENTRY_DROP_DELAY_MILLIS else 0
         local.confirmedAtMillis = maxOf(local.confirmedAtMillis ?: Long.MIN_VALUE, nowMillis - ageMillis)
         if (batch.endOffset >= local.replica.endOffset) {
-            local.replica.merge(batch).forEach { record ->
+            local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
                 val context = UpdateContext(nowMillis = nowMillis, dropDelayMillis = dropDelayMillis, source = source)
-                if (topic == StoreTopic.DAEMONS) peers.learnAddress(record) else apply(topic, record, context)
+                when (topic) {
+                    StoreTopic.DAEMONS -> peers.learnAddress(record)
+                    StoreTopic.CRASHES -> crashReports.apply(record)
+                    else -> apply(topic, record, context)
+                }
             }
         }
     }
