Send a completion to no more engines once three were lost before their first token

Found while looking for the cause of the crashing prompts in the own interface: one completion was sent on up to eight times, whatever its engines ended under, so one prompt could take eight engines down. Prompts there name no parts, so nothing can be remembered across requests. Change: engines that were lost before a token of the attempt are counted, and the third ends the completion (backend-lost). Engines lost after tokens don't count. Before: CompletionControllerTest failed on this case (no action, a failure due). After: it passes, with the rest of core's tests.

--- a/core/src/main/kotlin/org/bulrushtack/core/request/ActiveRequest.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/ActiveRequest.kt
@@ -11,6 +11,7 @@
  * @property lastTokenAtMillis when tokens of the attempt in flight last arrived, or null
  * @property retryAtMillis when to retry, or null while an attempt is in flight
  * @property dispatches how many attempts reached a backend server
+ * @property lostUnanswered how many backend servers were lost under it before they sent a token
  * @property selectionFailures how often no backend server could be selected
  * @property lastReachedServer whether the last attempt reached a backend server
  * @property lastProblem why the last attempt failed
@@ -25,6 +26,7 @@
     val failedServers: Set<String> = emptySet(),
     val retryAtMillis: Long? = null,
     val dispatches: Int = 0,
+    val lostUnanswered: Int = 0,
     val selectionFailures: Int = 0,
     val lastReachedServer: Boolean = false,
     val lastProblem: Problem? = null,
--- a/core/src/main/kotlin/org/bulrushtack/core/request/CompletionRetries.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionRetries.kt
@@ -23,6 +23,7 @@
         val isFinal = problem.kind in FINAL_KINDS || retryAtMillis >= active.request.deadlineAtMillis
         return when {
             isFinal || active.dispatches >= MAXIMUM_DISPATCHES -> null
+            active.lostUnanswered >= MAXIMUM_LOST_UNANSWERED -> null
             active.lastReachedServer && !budget.tryWithdraw() -> null
             else -> retryAtMillis
         }
@@ -30,6 +31,9 @@
 }
 
 private const val MAXIMUM_DISPATCHES = 8
+
+/** More engines that are lost before their first token are likely to crash under the prompt itself. */
+private const val MAXIMUM_LOST_UNANSWERED = 3
 private val FINAL_KINDS = setOf(
     ErrorKind.PROMPT_TOO_LONG,
     ErrorKind.CANNOT_FINISH,
--- a/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/RequestsRegion.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.core.request
 
+import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.error.RunState
 
@@ -39,12 +40,14 @@
 
     internal fun finishAttempt(active: ActiveRequest, problem: Problem, reachedServer: Boolean): ActiveRequest {
         release(active)
+        val isLost = reachedServer && problem.kind == ErrorKind.BACKEND_LOST
         return put(
             active.copy(
                 server = null,
                 owner = null,
                 failedServers = active.failedServers + listOfNotNull(active.server),
                 dispatches = active.dispatches + if (reachedServer) 1 else 0,
+                lostUnanswered = active.lostUnanswered + if (isLost && active.lastTokenAtMillis == null) 1 else 0,
                 lastReachedServer = reachedServer,
                 lastProblem = problem,
                 mayHaveRun = active.mayHaveRun || problem.kind.runState != RunState.NO,
--- a/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
@@ -3,7 +3,10 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.control.Blackboard
+import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.control.Event
+import org.bulrushtack.core.error.ErrorKind
+import org.bulrushtack.core.error.Problem
 import org.bulrushtack.core.membership.MEMBER_LEASE_MILLIS
 import org.bulrushtack.core.membership.MemberIdentity
 import org.bulrushtack.core.server.BackendServerDirectory
@@ -65,4 +68,37 @@
 
         isInFlight() shouldBe false
     }
+
+    /** Loses the engines of [count] attempts, with [tokens] after they sent some; returns the last actions. */
+    private fun loseEngines(count: Int, tokens: Boolean): List<Action> {
+        val region = blackboard.requests
+        region.active.clear()
+        region.add(request)
+        return (1..count).map { number ->
+            region.send(active = region.active.getValue("request-1"), server = "engine-$number", owner = "vm-2")
+            if (tokens) testSubject.handle(Event.AttemptProgressed(requestId = "request-1", attempt = number), 0)
+            testSubject.handle(
+                Event.AttemptFailed(
+                    requestId = "request-1",
+                    attempt = number,
+                    problem = Problem(ErrorKind.BACKEND_LOST),
+                    reachedServer = true,
+                ),
+                nowMillis = 0,
+            )
+        }.last()
+    }
+
+    // Guards against one prompt that takes down engine after engine.
+    @Test
+    fun `a completion is not sent on after three engines were lost before their first token`() {
+        loseEngines(count = 2, tokens = false) shouldBe emptyList()
+
+        loseEngines(count = 3, tokens = false).size shouldBe 1
+    }
+
+    @Test
+    fun `a completion whose lost engines had sent tokens is sent on`() {
+        loseEngines(count = 3, tokens = true) shouldBe emptyList()
+    }
 }
