--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -23,16 +23,15 @@
     private val metrics: ForwardMetrics,
     private val log: EventLog,
 ) {
-    private val polls = POLLED_TOPICS.associateWith { Poll() }
+    private val polls = POLL_INTERVALS_MILLIS.mapValues { (_, millis) -> Poll(intervalMillis = millis) }
     private var unavailable = false
 
     /** Polls the topics that are due; [isReader] tells whether this daemon reads on behalf of all. */
     fun tick(isReader: Boolean) {
         val nowMillis = thread.nowMillis()
-        POLLED_TOPICS.forEach { topic ->
-            val poll = polls.getValue(topic)
-            val stale = replica.ageMillis(topic) > STALE_MILLIS
-            val due = (isReader || stale) && nowMillis - poll.sentAtMillis >= POLL_INTERVAL_MILLIS
+        polls.forEach { (topic, poll) ->
+            val stale = replica.ageMillis(topic) > poll.intervalMillis + PASSING_ON_MILLIS
+            val due = (isReader || stale) && nowMillis - poll.sentAtMillis >= poll.intervalMillis
             if (due && !poll.inFlight) startPoll(topic, poll, nowMillis)
         }
     }
@@ -85,17 +84,25 @@
         )
     }
 
-    private class Poll {
+    private class Poll(
+        val intervalMillis: Long,
+    ) {
         var inFlight = false
         var sentAtMillis = Long.MIN_VALUE / 2
     }
 }
 
 private const val SOURCE = "store"
-private val POLLED_TOPICS = listOf(StoreTopic.OPERATOR, StoreTopic.BACKEND_SERVERS, StoreTopic.CRASHES)
 
-/** A change has two seconds to reach every daemon; it may wait half a second here, the rest is for the syncs. */
-private const val POLL_INTERVAL_MILLIS = 500L
+/**
+ * A change of the configuration or of a server has two seconds to reach every daemon, a report of a crash three. It may
+ * wait for these times here, the rest is for the syncs.
+ */
+private val POLL_INTERVALS_MILLIS = mapOf(
+    StoreTopic.OPERATOR to 500L,
+    StoreTopic.BACKEND_SERVERS to 500L,
+    StoreTopic.CRASHES to 1_000L,
+)
 
 /** Two missed syncs after the last read. */
-private const val STALE_MILLIS = 1_100L
+private const val PASSING_ON_MILLIS = 600L
