--- /dev/null
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeRecordStore.kt
@@ -0,0 +1,48 @@
+package org.bulrushtack.forward.testing
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.bulrushtack.core.platform.PlatformFailure
+import org.bulrushtack.core.store.RecordBatch
+import org.bulrushtack.core.store.RecordStore
+import org.bulrushtack.core.store.StoreRecord
+import org.bulrushtack.core.store.StoreTopic
+import java.util.concurrent.CompletableFuture
+
+/** A store of one topic in memory. */
+internal class FakeRecordStore : RecordStore {
+    private val stored = mutableListOf<StoreRecord>()
+
+    /** Whether calls fail, with nothing written. */
+    var isDown = false
+
+    /** All records in the order of their offsets. */
+    val records: List<StoreRecord> get() = stored
+
+    override fun newest(topic: StoreTopic): CompletableFuture<Either<PlatformFailure, RecordBatch>> = result {
+        val newest = stored.associateBy { it.key }.values.filter { it.value != null }
+        RecordBatch(records = newest, complete = true, endOffset = stored.size.toLong())
+    }
+
+    override fun read(
+        topic: StoreTopic,
+        offset: Long,
+        waitMillis: Long,
+    ): CompletableFuture<Either<PlatformFailure, RecordBatch>> = result {
+        RecordBatch(records = stored.drop(offset.toInt()), complete = false, endOffset = stored.size.toLong())
+    }
+
+    override fun put(
+        topic: StoreTopic,
+        key: String,
+        value: ByteArray,
+    ): CompletableFuture<Either<PlatformFailure, Long>> = result {
+        val offset = stored.size.toLong()
+        stored.add(StoreRecord(key = key, offset = offset, value = value.takeIf { it.isNotEmpty() }))
+        offset
+    }
+
+    private fun <T> result(call: () -> T): CompletableFuture<Either<PlatformFailure, T>> =
+        CompletableFuture.completedFuture(if (isDown) PlatformFailure("the store is down").left() else call().right())
+}
