Suspect a prompt only of closed connections, not of bytes that are no response

Cause: every failure after the send counted as a crash for the quarantine, also bytes that are no response and responses that were too large, from servers that live on. Change: HttpFailure says whether the peer closed or reset the connection, and that alone counts. Before: CrashingPromptTest failed on a part that servers answer with garbled bytes (one group quarantined, none asked). After: it passes.

--- a/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/request/CompletionControllerTest.kt
@@ -2,8 +2,8 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
-import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.control.Event
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -82,7 +82,7 @@
 
     override fun onFailure(failure: HttpFailure) {
         val outcome = if (failure.sent) SendOutcome.UNKNOWN else SendOutcome.NOT_SENT
-        finish(outcome = outcome, reason = failure.reason, isBrokenOff = failure.sent)
+        finish(outcome = outcome, reason = failure.reason, isBrokenOff = failure.closedByPeer)
     }
 
     private val isSuccess: Boolean get() = status in SUCCESS
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** One request on one connection; [onIdle] gets the connection back after a complete response. */
@@ -48,7 +49,7 @@
      * does nothing, since the connection may serve another request by then.
      */
     fun abort(reason: String) {
-        if (fail(sent = channel != null, reason = reason)) channel?.close()
+        if (fail(HttpFailure(sent = channel != null, reason = reason))) channel?.close()
     }
 
     override fun setReading(reading: Boolean) {
@@ -67,13 +68,13 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail(sent = true, reason = "connection closed")
+        fail(HttpFailure(sent = true, reason = "connection closed", closedByPeer = true))
         super.channelInactive(context)
     }
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail(sent = true, reason = cause.toString())
+        fail(HttpFailure(sent = true, reason = cause.toString(), closedByPeer = cause is IOException))
         context.close()
     }
 
@@ -101,9 +102,9 @@
         listener.onComplete()
     }
 
-    private fun fail(sent: Boolean, reason: String): Boolean {
+    private fun fail(failure: HttpFailure): Boolean {
         val isFirst = finished.compareAndSet(false, true)
-        if (isFirst) listener.onFailure(HttpFailure(sent = sent, reason = reason))
+        if (isFirst) listener.onFailure(failure)
         return isFirst
     }
 }
