--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -94,14 +94,15 @@
 
 private const val SOURCE = "store"
 
-/**
- * A change of the configuration or of a server has two seconds to reach every daemon, a report of a crash three. It may
- * wait for these times here, the rest is for the syncs.
- */
+/** A change has two seconds to reach every daemon; it may wait half a second here, the rest is for the syncs. */
+private const val POLL_INTERVAL_MILLIS = 500L
+
+/** A report of a crash has three seconds to reach every daemon. */
+private const val CRASHES_POLL_INTERVAL_MILLIS = 1_000L
 private val POLL_INTERVALS_MILLIS = mapOf(
-    StoreTopic.OPERATOR to 500L,
-    StoreTopic.BACKEND_SERVERS to 500L,
-    StoreTopic.CRASHES to 1_000L,
+    StoreTopic.OPERATOR to POLL_INTERVAL_MILLIS,
+    StoreTopic.BACKEND_SERVERS to POLL_INTERVAL_MILLIS,
+    StoreTopic.CRASHES to CRASHES_POLL_INTERVAL_MILLIS,
 )
 
 /** Two missed syncs after the last read. */
