Forget a daemon's own reports together with the crashes they are about

Cause: seen on reading the diff: suspects of crashes that answers had cleared, or that gave way to newer ones, stayed in CrashReports for good. Change: they are kept only while the quarantine knows the crash. addSuspects, which nothing else called, is part of recordCrash. No decision changes.

--- a/core/src/main/kotlin/org/bulrushtack/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/quarantine/PromptQuarantine.kt
@@ -11,6 +11,9 @@
     private var suspects: Set<String> = emptySet()
     private val answeredAtMillis = LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true)
 
+    /** The ids of the servers whose crashes have suspects. */
+    public val crashedServers: Set<String> get() = crashes.keys
+
     /** The groups of parts that crashes point to, the ones with the most crashes first; their time may be over. */
     public var groups: List<QuarantinedGroup> = emptyList()
         private set
@@ -21,19 +24,15 @@
      */
     public fun recordCrash(serverId: String, parts: Set<String>, nowMillis: Long): Set<String> {
         val suspects = parts.filterTo(HashSet()) { !hasRecentAnswer(it, nowMillis) }
-        addSuspects(serverId, suspects, nowMillis)
+        if (suspects.isNotEmpty()) {
+            val known = crashes.remove(serverId)?.suspects.orEmpty()
+            crashes[serverId] = CrashedServer(serverId = serverId, suspects = known + suspects, atMillis = nowMillis)
+            while (crashes.size > MAXIMUM_CRASHES) crashes.remove(crashes.keys.first())
+            updateGroups()
+        }
         return suspects
     }
 
-    /** Adds [suspects] of the crash of [serverId] that another daemon has reported. */
-    public fun addSuspects(serverId: String, suspects: Set<String>, nowMillis: Long) {
-        if (suspects.isEmpty()) return
-        val known = crashes.remove(serverId)?.suspects.orEmpty()
-        crashes[serverId] = CrashedServer(serverId = serverId, suspects = known + suspects, atMillis = nowMillis)
-        while (crashes.size > MAXIMUM_CRASHES) crashes.remove(crashes.keys.first())
-        updateGroups()
-    }
-
     /** Records that a server writes an answer to a request with [parts]; returns those that were suspected. */
     public fun recordAnswer(parts: Set<String>, nowMillis: Long): Set<String> {
         parts.forEach { answeredAtMillis[it] = nowMillis }
@@ -52,11 +51,9 @@
         return cleared
     }
 
-    /** Forgets crashes that are too long ago to count; returns the ids of their servers. */
-    public fun expire(nowMillis: Long): Set<String> {
-        val expired = crashes.values.filter { it.atMillis + CONFIRMED_MILLIS <= nowMillis }.map { it.serverId }.toSet()
-        if (crashes.keys.removeAll(expired)) updateGroups()
-        return expired
+    /** Forgets crashes that are too long ago to count. */
+    public fun expire(nowMillis: Long) {
+        if (crashes.values.removeAll { it.atMillis + CONFIRMED_MILLIS <= nowMillis }) updateGroups()
     }
 
     /** How long a request with [parts] has to stay away from servers; 0 if it may be sent now. */
--- a/core/src/test/kotlin/org/bulrushtack/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/quarantine/PromptQuarantineTest.kt
@@ -86,8 +86,9 @@
         (1..3).forEach { crash(it, "bad") }
         nowMillis += PromptQuarantine.CONFIRMED_MILLIS
 
-        testSubject.expire(nowMillis).size shouldBe 3
+        testSubject.expire(nowMillis)
 
+        testSubject.crashedServers shouldBe emptySet()
         crash(4, "bad")
         isRefused("bad") shouldBe false
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
@@ -54,8 +54,8 @@
 
     /** Applies [record] of this daemon or another. */
     fun apply(record: StoreRecord) {
-        learnedAtMillis[record.key] = thread.nowMillis()
-        if (record.value == null) learnedAtMillis.remove(record.key)
+        val isDeleted = record.value == null
+        if (isDeleted) learnedAtMillis.remove(record.key) else learnedAtMillis[record.key] = thread.nowMillis()
         val decoded = CrashRecord.decode(record)
         if (decoded == null || decoded.writerId == writerId) return
         when (decoded) {
@@ -71,7 +71,8 @@
     /** Forgets what is too old to count; a daemon that reads the store for all ([isReader]) deletes the records too. */
     fun tick(isReader: Boolean) {
         val nowMillis = thread.nowMillis()
-        quarantine.expire(nowMillis).forEach { ownSuspects.remove(it) }
+        quarantine.expire(nowMillis)
+        ownSuspects.keys.retainAll(quarantine.crashedServers)
         val expired = learnedAtMillis.filterValues { it + PromptQuarantine.CONFIRMED_MILLIS <= nowMillis }.keys
         if (isReader) expired.forEach { writer.delete(it) }
         learnedAtMillis.keys.removeAll(expired)
