--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/ProcessFaultTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/ProcessFaultTest.kt
@@ -5,8 +5,8 @@
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.daemon.testing.DaemonFixture
 import org.bulrushtack.daemon.testing.DaemonProcess
-import org.bulrushtack.daemon.testing.KnownRed
 import org.bulrushtack.http.HttpMessageResponse
+import org.bulrushtack.platform.standin.testing.KnownRed
 import java.util.concurrent.CompletableFuture
 
 class ProcessFaultTest : AnnotationSpec() {
