Review: an unframed stream that a crash cuts between events looks complete

The daemon takes the end of the channel for the end of the answer and sends the caller the last chunk, though the route is resumable and another server could tell whether anything is missing.

Ruled out: streams with chunks (they are resumed and whole in the same runs). Nothing is fixed here.

--- a/review/standin/Caller.java
+++ b/review/standin/Caller.java
@@ -15,6 +15,8 @@
     volatile int status;
     volatile int events;
     volatile long bytes;
+    volatile boolean isInOrder = true;
+    volatile int expectedEvents;
     volatile boolean complete;
     volatile boolean finished;
     volatile boolean left;
@@ -75,11 +77,22 @@
         }
         for (byte[] chunk = Message.readChunk(in); chunk.length > 0; chunk = Message.readChunk(in)) {
             bytes += chunk.length;
-            events += 1;
+            count(new String(chunk));
         }
         complete = true;
     }
 
+    /** Counts the events, whose ids have to increase by one. */
+    private void count(String text) {
+        for (String line : text.split("\n")) {
+            if (line.startsWith("id: ")) {
+                int id = Integer.parseInt(line.substring(4).trim());
+                isInOrder = isInOrder && id == events + 1;
+                events += 1;
+            }
+        }
+    }
+
     /** The head of a prompt's request without its id and key; {@code kind} is the first part of its path. */
     static String prompt(String kind, int number, long promptTokens, long answerTokens, int deadlineMillis) {
         return "POST /" + kind + "/" + number + " HTTP/1.1\r\nHost: tour.example\r\nX-Deadline-Ms: " + deadlineMillis
--- a/review/standin/Engine.java
+++ b/review/standin/Engine.java
@@ -13,6 +13,10 @@
     private static final double STEP_MS_PER_REQUEST = 0.0062;
     private static final double CONTEXT_MS_PER_THOUSAND = 0.00285;
 
+    /** One in so many answers has no length and ends with its channel; 0 for none. */
+    int unframedEvery;
+
+    private int answers;
     private final Map<String, Ticket> tickets = new HashMap<>();
     private double readsUntil;
     private long usedTokens;
@@ -45,20 +49,35 @@
     private void write(Message request, Socket socket, long prompt, int events, int parts) throws Exception {
         Thread.sleep(Math.max(1, (long) (read(prompt, parts) - now())));
         Record.line("%s: runs %s", id, request.header("x-attempt-id"));
-        send(socket, "HTTP/1.1 200 OK\r\n" + signed(request)
-            + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        boolean isFramed = !isUnframed();
+        String attempt = request.header("x-attempt-id");
+        if (!isFramed) {
+            Record.line("%s: answers %s without a length, %d events", id, attempt, events);
+        }
+        send(socket, "HTTP/1.1 200 OK\r\n" + signed(request) + "Content-Type: text/event-stream\r\n"
+            + (isFramed ? "Transfer-Encoding: chunked\r\n\r\n" : "Connection: close\r\n\r\n"));
         String last = request.header("last-event-id");
         begin(prompt / parts);
         try {
             for (int number = last == null ? 1 : Integer.parseInt(last) + 1; number <= events; number++) {
                 Thread.sleep((long) pass());
                 String event = "id: " + number + "\ndata: " + "x".repeat(50) + "\n\n";
-                send(socket, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+                send(socket, isFramed ? Integer.toHexString(event.length()) + "\r\n" + event + "\r\n" : event);
+                if (!isFramed) {
+                    System.out.println("event " + attempt + " " + number + " of " + events);
+                }
             }
         } finally {
             begin(-prompt / parts);
         }
-        send(socket, "0\r\n\r\n");
+        if (isFramed) {
+            send(socket, "0\r\n\r\n");
+        }
+    }
+
+    private synchronized boolean isUnframed() {
+        answers += 1;
+        return unframedEvery > 0 && answers % unframedEvery == 0;
     }
 
     @Override
--- a/review/standin/Prompts.java
+++ b/review/standin/Prompts.java
@@ -40,7 +40,9 @@
         number += 1;
         long answer = Math.max(1, Math.round(events)) * TOKENS_OF_EVENT;
         String head = Caller.prompt(kind, number, Math.round(tokens), answer, deadline);
-        return new Caller(daemon).send(address, head, new byte[(int) (tokens / 4)], patience);
+        Caller caller = new Caller(daemon);
+        caller.expectedEvents = (int) (answer / TOKENS_OF_EVENT);
+        return caller.send(address, head, new byte[(int) (tokens / 4)], patience);
     }
 
     /** A size of a log-normal distribution with {@code mean}. */
--- a/review/standin/Server.java
+++ b/review/standin/Server.java
@@ -42,6 +42,10 @@
             + ",\"state\":\"" + state + "\",\"cold_remaining_ms\":" + coldMillis + ",\"seq\":1,\"born\":" + born + "}");
     }
 
+    int port() {
+        return listening.getLocalPort();
+    }
+
     String signed(Message request) {
         return "X-Attempt-Id: " + request.header("x-attempt-id") + "\r\nX-Server-Stamp: stamp-of-" + id + "\r\n";
     }
