--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -11,6 +11,8 @@
     static final String KEY = "key-of-school";
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+    private static final long LONGEST_MILLIS = 115_000;
+
     final Store store;
     final List<Daemon> daemons = new ArrayList<>();
     final List<Server> servers = new ArrayList<>();
@@ -20,6 +22,7 @@
     static void play(String record, int daemons, Case play) throws Exception {
         Record.open(Path.of(record));
         Record.line("disruption: %s", TROUBLE ? "yes" : "no (TROUBLE=0)");
+        Server.background(Lab::endInTime);
         int status = 2;
         try (Lab lab = new Lab(daemons)) {
             status = play.run(lab);
@@ -30,6 +33,17 @@
         Runtime.getRuntime().exit(status);
     }
 
+    /** Ends a script that hangs, with all that it started, within its 120 s. */
+    private static void endInTime() {
+        try {
+            Thread.sleep(LONGEST_MILLIS);
+            Record.line("the case could not run: it took too long");
+            Runtime.getRuntime().exit(2);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** A case; returns its result. */
     interface Case {
         int run(Lab lab) throws Exception;
