Answer the requests that a stopping daemon still holds before its process exits

Cause: the process exits 300 ms before the end of the grace period, whatever it holds. Nothing ends the requests that wait for an engine, for a plain server or for reserved memory, and nothing compares their wait with what is left of the grace period. Sent requests whose server is silent lost their connection in the same way.

Change: while the daemon drains, a request that waits, whatever for, is refused as not run (503, Retry-After) as soon as its estimated answer would end after the exit; 200 ms before the exit all others get their final response: not run, outcome unknown, or a stream that visibly breaks off.

--- a/core/src/main/kotlin/org/bulrushtack/core/placement/EngineModel.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/EngineModel.kt
@@ -12,6 +12,13 @@
         return tokens / profile.prefillTokensPerMilli + millionPairs * profile.attentionMillisPerMillionPairs
     }
 
+    /** The time to decode the whole answer to a prompt of [shape] on an engine that decodes nothing else. */
+    public fun decodeMillis(shape: PromptShape): Double {
+        val context = shape.promptTokens + shape.answerTokens
+        val step = profile.stepMillis + profile.requestMillis + context / THOUSAND * profile.contextMillis
+        return shape.answerTokens * (step + profile.hopMillis)
+    }
+
     /** The time of a pass that decodes the requests of [allocations] and prefills nothing. */
     public fun passMillis(allocations: Collection<EngineAllocation>): Double {
         val decoding = allocations.count { it.decodes }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
@@ -18,6 +18,13 @@
     /** Whether callers have had time to discover other daemons, so that an idle process may exit. */
     fun mayExit(nowMillis: Long): Boolean = startedAtMillis.let { it != null && nowMillis - it >= acceptMillis }
 
+    /** Whether a response that is complete at [endAtMillis] is complete before the process exits. */
+    fun leavesTimeUntil(endAtMillis: Long): Boolean =
+        startedAtMillis.let { it == null || endAtMillis <= it + graceMillis() - MARGIN_MILLIS - FINAL_RESPONSE_MILLIS }
+
+    /** Whether all requests in flight have to get their final response now. */
+    fun mustRespond(nowMillis: Long): Boolean = !leavesTimeUntil(nowMillis)
+
     /** Whether the process has to exit even with requests in flight. */
     fun mustExit(nowMillis: Long): Boolean =
         startedAtMillis.let { it != null && nowMillis - it >= graceMillis() - MARGIN_MILLIS }
@@ -31,3 +38,6 @@
 
 /** The part of the grace period that the process needs to exit. */
 private const val MARGIN_MILLIS = 300L
+
+/** The time in which the last responses reach their callers. */
+private const val FINAL_RESPONSE_MILLIS = 200L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
@@ -57,6 +57,13 @@
         else -> problem(ErrorKind.CANNOT_FINISH)
     }
 
+    /** Responds before the process exits; [sent] tells whether a server may have received the request. */
+    fun shutDown(sent: Boolean) = when {
+        relay.isStarted -> abort("the daemon shut down")
+        sent -> problem(lostResponseKind(), detail = "The daemon shut down before the answer was complete.")
+        else -> problem(ErrorKind.DRAINING)
+    }
+
     /** Closes the request without a response, as the caller has disconnected. */
     fun callerDisconnected() = finish("caller left")
 
@@ -68,10 +75,14 @@
         relay.abort()
     }
 
-    private fun problem(kind: ErrorKind, retryAfterMillis: Long = dependencies.retryAfterPolicy.delayMillis()) {
+    private fun problem(
+        kind: ErrorKind,
+        retryAfterMillis: Long = dependencies.retryAfterPolicy.delayMillis(),
+        detail: String = "",
+    ) {
         dependencies.metrics.recordProblem(kind)
         finish(kind.code)
-        exchange.respond(ProblemWriter.response(Problem(kind), context.requestId, retryAfterMillis))
+        exchange.respond(ProblemWriter.response(Problem(kind, detail), context.requestId, retryAfterMillis))
     }
 
     private fun finish(how: String) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -2,7 +2,9 @@
 
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.exchange.AnswerTimeEstimate
 import org.bulrushtack.core.exchange.StreamTimeouts
+import org.bulrushtack.core.placement.PromptShape
 import org.bulrushtack.core.route.Route
 import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.Workspace
@@ -38,6 +40,20 @@
         if (kind == null) route(exchange, head, checkNotNull(routing)) else reject(exchange, head, kind)
     }
 
+    /**
+     * Ends the requests that can't be answered before a draining process exits: at once those that still wait for a
+     * backend server, all others only when their final response is due.
+     */
+    fun endUnfinishable() {
+        val nowMillis = dependencies.thread.nowMillis()
+        val mustRespond = drain.mustRespond(nowMillis)
+        active.filter { mustRespond || (it.isWaiting && !canFinish(it.context, nowMillis)) }
+            .forEach { forwarded -> forwarded.end { shutDown(it) } }
+    }
+
+    private fun canFinish(context: ForwardedRequestContext, nowMillis: Long): Boolean =
+        drain.leavesTimeUntil(context.expectedEndAtMillis(nowMillis))
+
     override fun errorResponse(error: RequestError): HttpMessageResponse {
         val kind = when (error) {
             RequestError.MALFORMED -> ErrorKind.MALFORMED_REQUEST
@@ -67,15 +83,17 @@
     private fun forward(exchange: HttpExchange, head: CallerRequestHead, route: Route, workspace: Workspace?) {
         val nowMillis = dependencies.thread.nowMillis()
         val deadlineMillis = minOf(route.timeoutMillis, head.deadlineMillis ?: Long.MAX_VALUE)
+        val service = route.service(dependencies.random.nextDouble())
         val context = ForwardedRequestContext(
             requestId = head.attemptId.orEmpty(),
-            service = route.service(dependencies.random.nextDouble()),
+            service = service,
             route = route,
             caller = head,
             workspace = workspace,
             timeouts = StreamTimeouts.forRoute(route = route, finalMillis = deadlineMillis),
             receivedAtMillis = nowMillis,
             deadlineAtMillis = nowMillis + deadlineMillis,
+            answerMillis = answerMillis(route, service, head.prompt),
             request = exchange.request,
         )
         val forwarded = ForwardedExchange(dependencies, exchange, context, onFinished = { active.remove(it) })
@@ -83,6 +101,16 @@
         forwarded.start()
     }
 
+    private fun answerMillis(route: Route, service: String, shape: PromptShape?): Long {
+        val profile = dependencies.state.routing?.service(service)?.engine
+        return if (profile == null || shape == null) {
+            AnswerTimeEstimate.ofCall(route)
+        } else {
+            val engines = dependencies.state.fleet.usableOf(service, dependencies.thread.nowMillis()).size
+            AnswerTimeEstimate.ofPrompt(route, shape, profile, engines)
+        }
+    }
+
     private fun reject(exchange: HttpExchange, head: CallerRequestHead, kind: ErrorKind) {
         val requestId = head.attemptId ?: "unknown"
         dependencies.metrics.recordProblem(kind)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -11,7 +11,7 @@
 internal class ForwardedExchange(
     private val dependencies: ExchangeDependencies,
     private val exchange: HttpExchange,
-    private val context: ForwardedRequestContext,
+    val context: ForwardedRequestContext,
     private val onFinished: (ForwardedExchange) -> Unit,
 ) : SendAttemptListener {
     private val relay: ResponseRelay = if (context.route.streamed) {
@@ -35,12 +35,23 @@
     private var deadlineTimer: ScheduledFuture<*>? = null
     private var firstEventRelayed = false
 
+    /** Whether the current attempt has not been sent to a backend server yet. */
+    val isWaiting: Boolean get() = attempt?.isSent != true
+
+    /** Ends the request with the response of [respond], which gets whether a server may have received it. */
+    fun end(respond: FinalResponse.(sent: Boolean) -> Unit) {
+        if (response.isDone) return
+        val sent = sends.mayHaveRun || !isWaiting
+        attempt?.cancel()
+        response.respond(sent)
+    }
+
     /** Starts the first attempt. */
     fun start() {
         dependencies.retryBudgets.deposit(context.service)
         exchange.onClosed { callerDisconnected() }
         val millis = maxOf(0, context.deadlineAtMillis - context.receivedAtMillis - RESPONSE_MARGIN_MILLIS)
-        deadlineTimer = dependencies.thread.schedule(millis) { onDeadline() }
+        deadlineTimer = dependencies.thread.schedule(millis) { end { timedOut(it) } }
         startAttempt()
     }
 
@@ -88,13 +99,6 @@
         if (!replacement.handTo(newAttempt)) newAttempt.start(excluded.toSet())
     }
 
-    private fun onDeadline() {
-        if (response.isDone) return
-        val sent = sends.mayHaveRun || attempt?.isSent == true
-        attempt?.cancel()
-        response.timedOut(sent)
-    }
-
     private fun callerDisconnected() {
         if (response.isDone) return
         attempt?.cancel()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
@@ -11,6 +11,7 @@
  *
  * @property service the service that was drawn for the request from the route's traffic split
  * @property deadlineAtMillis the time of the monotonic clock by which the caller needs the final response
+ * @property answerMillis the estimated time from a send to the end of the whole answer
  */
 internal data class ForwardedRequestContext(
     val requestId: String,
@@ -21,11 +22,15 @@
     val timeouts: StreamTimeouts,
     val receivedAtMillis: Long,
     val deadlineAtMillis: Long,
+    val answerMillis: Long,
     val request: HttpMessageRequest,
 ) {
     /** The priority among waiting requests; 0 is the most urgent. */
     val priority: Int get() = workspace?.priority ?: route.priority
 
+    /** When the caller is expected to have its final response if the request were sent at [nowMillis]. */
+    fun expectedEndAtMillis(nowMillis: Long): Long = minOf(nowMillis + answerMillis, deadlineAtMillis)
+
     /** How long [target] may take to its first event, or to a whole response, before another server is tried. */
     fun firstResponseTimeoutMillis(target: SendTarget): Long {
         val predicted = target.placement?.timeToFirstTokenMillis ?: return route.objectiveMillis * OBJECTIVE_FACTOR
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -96,6 +96,7 @@
         components.crashReports.tick(isReader)
         state.fleet.removeExpired(nowMillis)
         components.logs.reportSuppressed()
+        if (state.draining) components.front.endUnfinishable()
         val idle = components.front.activeCount == 0 && components.drain.mayExit(nowMillis)
         if ((idle || components.drain.mustExit(nowMillis)) && terminated.count > 0) {
             log.info("The daemon has stopped.", LogField("active", components.front.activeCount))
--- a/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
@@ -37,4 +37,18 @@
         testSubject.mustExit(nowMillis = 7_600) shouldBe false
         testSubject.mustExit(nowMillis = 7_800) shouldBe true
     }
+
+    @Test
+    fun `the final responses are due before the process exits`() {
+        val testSubject = drainState()
+        testSubject.leavesTimeUntil(endAtMillis = Long.MAX_VALUE) shouldBe true
+
+        testSubject.start(nowMillis = 0)
+
+        testSubject.leavesTimeUntil(endAtMillis = 7_000) shouldBe true
+        testSubject.leavesTimeUntil(endAtMillis = 7_700) shouldBe false
+        testSubject.mustRespond(nowMillis = 7_000) shouldBe false
+        testSubject.mustRespond(nowMillis = 7_600) shouldBe true
+        testSubject.mustExit(nowMillis = 7_600) shouldBe false
+    }
 }
