Pass on no request during a shutdown whose answer would be cut at the exit

Cause: for 45 % of the grace period a draining daemon admits every request, and passes it on whatever its answer needs. The same holds for a request that was waiting when the signal came, or that is sent once more, and gets a server late: the server then works on an answer that can't be handed on. The idle process itself was no cause; it stays for late callers.

Change: an attempt that starts or is about to be sent during a shutdown is refused as not run if its estimated answer ends after the exit. At the send the estimate takes the first event from the placement. AnswerTimeEstimate has the two parts apart for it. What fits is still served, at any point of the shutdown at which requests are taken.

--- a/core/src/test/kotlin/org/bulrushtack/core/exchange/AnswerTimeEstimateTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/exchange/AnswerTimeEstimateTest.kt
@@ -49,7 +49,7 @@
         shape = PromptShape(promptTokens, answerTokens, maximumAnswerTokens = answerTokens),
         profile = profile,
         engines = engines,
-    )
+    ).let { it.firstEventMillis + it.remainderMillis }
 
     @Test
     fun `a short prompt takes its objective and the decoding of its answer on a shared engine`() {
@@ -70,6 +70,6 @@
 
     @Test
     fun `a call takes a few of its objectives`() {
-        AnswerTimeEstimate.ofCall(route(objectiveMillis = 120)) shouldBe 360
+        AnswerTimeEstimate.ofCall(route(objectiveMillis = 120)) shouldBe AnswerTimeEstimate(360, remainderMillis = 0)
     }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -16,6 +16,7 @@
 /** The collaborators that every forwarded request uses. */
 internal data class ExchangeDependencies(
     val state: ForwardState,
+    val drain: DrainState,
     val codec: ExchangeCodec,
     val client: HttpClient,
     val placementClient: PlacementClient,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -19,8 +19,8 @@
 /** Admits callers' requests: resolves the route and the workspace, and rejects what the configuration doesn't allow. */
 internal class ForwardHandler(
     private val dependencies: ExchangeDependencies,
-    private val drain: DrainState,
 ) : HttpHandler {
+    private val drain = dependencies.drain
     private val active = HashSet<ForwardedExchange>()
 
     override val isClosing: Boolean get() = dependencies.state.draining
@@ -47,12 +47,12 @@
     fun endUnfinishable() {
         val nowMillis = dependencies.thread.nowMillis()
         val mustRespond = drain.mustRespond(nowMillis)
-        active.filter { mustRespond || (it.isWaiting && !canFinish(it.context, nowMillis)) }
+        active.filter { mustRespond || (it.isWaiting && !canFinish(it, nowMillis)) }
             .forEach { forwarded -> forwarded.end { shutDown(it) } }
     }
 
-    private fun canFinish(context: ForwardedRequestContext, nowMillis: Long): Boolean =
-        drain.leavesTimeUntil(context.expectedEndAtMillis(nowMillis))
+    private fun canFinish(forwarded: ForwardedExchange, nowMillis: Long): Boolean =
+        drain.leavesTimeUntil(forwarded.context.expectedEndAtMillis(nowMillis))
 
     override fun errorResponse(error: RequestError): HttpMessageResponse {
         val kind = when (error) {
@@ -93,7 +93,7 @@
             timeouts = StreamTimeouts.forRoute(route = route, finalMillis = deadlineMillis),
             receivedAtMillis = nowMillis,
             deadlineAtMillis = nowMillis + deadlineMillis,
-            answerMillis = answerMillis(route, service, head.prompt),
+            answerTime = answerTime(route, service, head.prompt),
             request = exchange.request,
         )
         val forwarded = ForwardedExchange(dependencies, exchange, context, onFinished = { active.remove(it) })
@@ -101,7 +101,7 @@
         forwarded.start()
     }
 
-    private fun answerMillis(route: Route, service: String, shape: PromptShape?): Long {
+    private fun answerTime(route: Route, service: String, shape: PromptShape?): AnswerTimeEstimate {
         val profile = dependencies.state.routing?.service(service)?.engine
         return if (profile == null || shape == null) {
             AnswerTimeEstimate.ofCall(route)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.exchange
 
+import org.bulrushtack.core.exchange.AnswerTimeEstimate
 import org.bulrushtack.core.exchange.StreamTimeouts
 import org.bulrushtack.core.route.Route
 import org.bulrushtack.core.route.Workspace
@@ -11,7 +12,7 @@
  *
  * @property service the service that was drawn for the request from the route's traffic split
  * @property deadlineAtMillis the time of the monotonic clock by which the caller needs the final response
- * @property answerMillis the estimated time from a send to the end of the whole answer
+ * @property answerTime the time that a send is estimated to take
  */
 internal data class ForwardedRequestContext(
     val requestId: String,
@@ -22,14 +23,17 @@
     val timeouts: StreamTimeouts,
     val receivedAtMillis: Long,
     val deadlineAtMillis: Long,
-    val answerMillis: Long,
+    val answerTime: AnswerTimeEstimate,
     val request: HttpMessageRequest,
 ) {
     /** The priority among waiting requests; 0 is the most urgent. */
     val priority: Int get() = workspace?.priority ?: route.priority
 
-    /** When the caller is expected to have its final response if the request were sent at [nowMillis]. */
-    fun expectedEndAtMillis(nowMillis: Long): Long = minOf(nowMillis + answerMillis, deadlineAtMillis)
+    /** When the caller is expected to have its final response if the request is sent at [nowMillis], to [target]. */
+    fun expectedEndAtMillis(nowMillis: Long, target: SendTarget? = null): Long {
+        val firstEventMillis = target?.placement?.timeToFirstTokenMillis?.toLong() ?: answerTime.firstEventMillis
+        return minOf(nowMillis + firstEventMillis + answerTime.remainderMillis, deadlineAtMillis)
+    }
 
     /** How long [target] may take to its first event, or to a whole response, before another server is tried. */
     fun firstResponseTimeoutMillis(target: SendTarget): Long {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -31,7 +31,7 @@
 
     /** Starts the placement on a server that is not in [excluded]. */
     fun start(excluded: Set<String>) {
-        if (refuseIfQuarantined()) return
+        if (refuseIfPointless(target = null)) return
         val created = AttemptPlacementFactory(dependencies, context).create(number, excluded, this)
         placement = created
         if (created == null) {
@@ -100,18 +100,28 @@
         listener.onAttemptRefused(kind, retryAfterMillis)
     }
 
-    /** Servers may have crashed under parts of the prompt while it waited; then it reaches no other. */
-    private fun refuseIfQuarantined(): Boolean {
+    /**
+     * Refuses a request that should reach no server any more: servers have crashed under parts of the prompt, or the
+     * answer, from [target] if the request is placed, would end after this process exits.
+     */
+    private fun refuseIfPointless(target: SendTarget?): Boolean {
         val quarantineMillis = dependencies.crashReports.quarantineMillis(context.caller.sharedParts)
-        if (quarantineMillis == 0L) return false
-        cancel()
-        listener.onAttemptRefused(ErrorKind.PROMPT_QUARANTINED, quarantineMillis)
-        return true
+        val expectedEndAtMillis = context.expectedEndAtMillis(dependencies.thread.nowMillis(), target)
+        val isPointless = quarantineMillis > 0 || !dependencies.drain.leavesTimeUntil(expectedEndAtMillis)
+        if (isPointless) {
+            cancel()
+            val isQuarantined = quarantineMillis > 0
+            listener.onAttemptRefused(
+                kind = if (isQuarantined) ErrorKind.PROMPT_QUARANTINED else ErrorKind.DRAINING,
+                retryAfterMillis = if (isQuarantined) quarantineMillis else dependencies.retryAfterPolicy.delayMillis(),
+            )
+        }
+        return isPointless
     }
 
     /** Checks again that the server is usable, as it may have started leaving (draining) after its selection. */
     private fun send(target: SendTarget, attemptReservations: Reservations) {
-        if (refuseIfQuarantined()) return
+        if (refuseIfPointless(target)) return
         val nowMillis = dependencies.thread.nowMillis()
         if (dependencies.state.fleet.usable(target.serverId, nowMillis) == null) {
             finish(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -126,6 +126,7 @@
     )
     private val dependencies = ExchangeDependencies(
         state = state,
+        drain = drain,
         codec = platform.exchangeCodec,
         client = client,
         placementClient = PlacementClient(
@@ -156,7 +157,7 @@
         metrics = metrics,
         log = logs.forComponent("front"),
     )
-    val front = ForwardHandler(dependencies = dependencies, drain = drain)
+    val front = ForwardHandler(dependencies)
     private var syncTicks = 0L
 
     /** Syncs with peers when due; more often during the startup grace period, to learn the placement leader sooner. */
