Exit only after the last response is written

Change: an HTTP server counts the requests whose response is not on the network yet; both daemons wait for them within the grace period. A caller that reads too slowly for it is still cut at its end.

Evidence: ServerConnectionTest `a request counts as active until its response is written completely` failed with the count taken out (0 for 1), passes with it. An exit that cuts such a response was not reproduced with a process.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/Drain.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/Drain.kt
@@ -37,7 +37,8 @@
         log.info { "The drain has finished." }
     }
 
-    private fun isIdle(): Boolean = control.query { blackboard, _ -> isIdle(blackboard) }.join()
+    private fun isIdle(): Boolean =
+        control.query { blackboard, _ -> isIdle(blackboard) }.join() && httpServer.activeCount == 0
 
     private fun isIdle(blackboard: Blackboard): Boolean {
         val owned = blackboard.ledgers.all().sumOf { it.running.size + it.queue.size }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -29,11 +29,12 @@
     private val log = components.logs.forComponent("life")
     private val terminated = CountDownLatch(1)
     private var peerServer: Server? = null
+    private var frontServer: HttpServer? = null
 
     /** Opens the ports and starts to read the store. */
     fun start() {
         components.registerGauges()
-        listen(settings.frontListen, components.front)
+        frontServer = listen(settings.frontListen, components.front)
         listen(settings.readinessListen, ImmediateResponseHandler(components.directory::readiness))
         listen(settings.directoryListen, ImmediateResponseHandler(components.directory::addresses))
         val scrape = { HttpMessageResponse(STATUS_OK, METRICS_CONTENT_TYPE, components.metrics.scrape().toByteArray()) }
@@ -97,7 +98,8 @@
         state.fleet.removeExpired(nowMillis)
         components.logs.reportSuppressed()
         if (state.draining) components.front.endUnfinishable()
-        val idle = components.front.activeCount == 0 && components.drain.mayExit(nowMillis)
+        val hasWrittenAll = frontServer?.activeCount == 0
+        val idle = components.front.activeCount == 0 && hasWrittenAll && components.drain.mayExit(nowMillis)
         if ((idle || components.drain.mustExit(nowMillis)) && terminated.count > 0) {
             log.info("The daemon has stopped.", LogField("active", components.front.activeCount))
             peerServer?.shutdown()
@@ -110,15 +112,13 @@
         state.daemons.addPeer(label = it, peerAddress = "$it:${settings.peerListen.port}")
     }
 
-    private fun listen(address: HostAndPort, handler: HttpHandler) {
-        HttpServer.start(
-            group = components.group,
-            host = address.host,
-            port = address.port,
-            limits = ::limits,
-            handler = handler,
-        )
-    }
+    private fun listen(address: HostAndPort, handler: HttpHandler): HttpServer = HttpServer.start(
+        group = components.group,
+        host = address.host,
+        port = address.port,
+        limits = ::limits,
+        handler = handler,
+    )
 
     private fun limits(): HttpLimits {
         val limits = state.routing?.configuration?.limits ?: return HttpLimits(memory = components.bodyMemory)
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -11,11 +11,16 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpServerExpectContinueHandler
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicInteger
 
 /** A listening HTTP/1.1 server. */
 public class HttpServer private constructor(
     private val channel: Channel,
+    private val activeExchanges: AtomicInteger,
 ) {
+    /** The number of requests whose response has not been written to the network completely. */
+    public val activeCount: Int get() = activeExchanges.get()
+
     /** The port that it listens on. */
     public val port: Int get() = (channel.localAddress() as InetSocketAddress).port
 
@@ -33,6 +38,7 @@
             limits: () -> HttpLimits,
             handler: HttpHandler,
         ): HttpServer {
+            val activeExchanges = AtomicInteger()
             val bootstrap = ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel::class.java)
@@ -42,14 +48,15 @@
                     ChannelOption.WRITE_BUFFER_WATER_MARK,
                     WriteBufferWaterMark(LOW_WATER_MARK_BYTES, HIGH_WATER_MARK_BYTES),
                 )
-                .childHandler(ConnectionInitializer(limits = limits, handler = handler))
-            return HttpServer(channel = bootstrap.bind(host, port).syncUninterruptibly().channel())
+                .childHandler(ConnectionInitializer(limits, handler, activeExchanges))
+            return HttpServer(bootstrap.bind(host, port).syncUninterruptibly().channel(), activeExchanges)
         }
     }
 
     private class ConnectionInitializer(
         private val limits: () -> HttpLimits,
         private val handler: HttpHandler,
+        private val activeExchanges: AtomicInteger,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
             val limits = limits()
@@ -59,7 +66,7 @@
             channel.pipeline()
                 .addLast(HttpServerCodec(decoder))
                 .addLast(HttpServerExpectContinueHandler())
-                .addLast(ServerConnection(limits = limits, handler = handler))
+                .addLast(ServerConnection(limits, handler, activeExchanges))
         }
     }
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -6,16 +6,26 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.internal.logging.InternalLoggerFactory
+import java.util.concurrent.atomic.AtomicInteger
 
-/** Aggregates the requests of one connection and dispatches them to the handler one at a time. */
+/**
+ * Aggregates the requests of one connection and dispatches them to the handler one at a time. [activeExchanges] counts
+ * those of all connections whose response has not been written completely.
+ */
 internal class ServerConnection(
     private val limits: HttpLimits,
     private val handler: HttpHandler,
+    private val activeExchanges: AtomicInteger,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val timer = ConnectionTimer(onTimeout = ::handleTimeout)
     private val pipelined = PipelinedMessages()
     private var aggregator: RequestAggregator? = null
     private var exchange: ServerExchange? = null
+        set(value) {
+            if (field == null && value != null) activeExchanges.incrementAndGet()
+            if (field != null && value == null) activeExchanges.decrementAndGet()
+            field = value
+        }
     private var failed = false
 
     override fun channelActive(context: ChannelHandlerContext) {
--- a/http/src/test/kotlin/org/bulrushtack/http/ServerConnectionTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ServerConnectionTest.kt
@@ -1,14 +1,18 @@
 package org.bulrushtack.http
 
+import io.kotest.assertions.nondeterministic.eventually
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import java.net.Socket
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
 
 class ServerConnectionTest : AnnotationSpec() {
     private val handler = object : HttpHandler {
         override fun handle(exchange: HttpExchange) {
             check(exchange.request.path != "/fails") { "unexpected" }
-            exchange.respond(HttpMessageResponse(status = 200))
+            val bodyBytes = if (exchange.request.path == "/large") LARGE_BODY_BYTES else 0
+            exchange.respond(HttpMessageResponse(status = 200, body = ByteArray(bodyBytes)))
         }
 
         override fun errorResponse(error: RequestError) =
@@ -34,4 +38,28 @@
         next?.status shouldBe 200
         group.shutdownGracefully()
     }
+
+    // Guards against a process that exits while a finished response is not on the network yet.
+    @Test
+    suspend fun `a request counts as active until its response is written completely`() {
+        val group = EventLoops.create(threads = 1)
+        val limits = HttpLimits()
+        val server = HttpServer.start(group, "127.0.0.1", port = 0, limits = { limits }, handler = handler)
+
+        Socket("127.0.0.1", server.port).use { caller ->
+            caller.getOutputStream().write("GET /large HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+            caller.getInputStream().read()
+            val activeBeforeReading = server.activeCount
+            caller.getInputStream().readNBytes(LARGE_BODY_BYTES)
+
+            activeBeforeReading shouldBe 1
+            eventually(10.seconds) { server.activeCount shouldBe 0 }
+        }
+        group.shutdownGracefully()
+    }
+
+    private companion object {
+        /** More than the network holds for a caller that doesn't read. */
+        const val LARGE_BODY_BYTES = 32_000_000
+    }
 }
