Own interface: answer what is pending at the end of a drain, and admit nothing that can't be answered

Callers saw: a completion or a booking that lasted longer than the drain lost its connection without a response; a request on a connection that was open already was admitted until the process was gone and lost in the same way.

Drain returned at its time limit whatever was pending, and closing the listening socket was all that ended the admission.

Change: when callers have had time to learn of other daemons, new requests are refused as not run and responses close their connections. Half a second before the limit the owner refuses its queued work, requests that wait are refused as not run, nothing is retried, and with the next tick the rest ends as lost, or as an unknown outcome for a call that may run once.

--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallAdmission.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallAdmission.kt
@@ -15,6 +15,7 @@
 ) {
     /** Returns why [call] is rejected, or null when it is admitted. */
     fun rejection(call: ServiceCall): Problem? = when {
+        !blackboard.members.admitsRequests -> Problem(ErrorKind.DRAINING)
         !blackboard.log.configured -> Problem(ErrorKind.NOT_READY)
         directory.servers(call.service).isEmpty() ->
             Problem(kind = ErrorKind.UNKNOWN_SERVICE, detail = "The service is '${call.service}'.")
--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallController.kt
@@ -29,7 +29,7 @@
     private val claims = CallClaims(blackboard = blackboard, identifiers = identifiers)
     private val admission = CallAdmission(blackboard = blackboard, directory = directory)
     private val dispatches = CallDispatches(
-        region = region,
+        blackboard = blackboard,
         directory = directory,
         selector = selector,
         claims = claims,
@@ -42,10 +42,16 @@
         is Event.RecordsRead -> advanceAll(nowMillis)
         is Event.CallAnswered -> dispatches.handleAnswer(event)
         is Event.CallAttemptFailed -> dispatches.handleFailure(event = event, nowMillis = nowMillis)
-        is Event.Tick -> deadlines.check(nowMillis) + dispatches.retryDue(nowMillis)
+        is Event.ExitDue -> deadlines.endAll { it.stage != Stage.SENT }
+        is Event.Tick -> tick(nowMillis)
         else -> emptyList()
     }
 
+    private fun tick(nowMillis: Long): List<Action> = when {
+        blackboard.members.exitDue -> deadlines.endAll { true }
+        else -> deadlines.check(nowMillis) + dispatches.retryDue(nowMillis)
+    }
+
     private fun admit(call: ServiceCall, nowMillis: Long): List<Action> {
         val problem = admission.rejection(call)
         return when {
--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallDeadlines.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallDeadlines.kt
@@ -5,9 +5,10 @@
 import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.server.BackendServerDirectory
 
-/** Fails calls that have waited too long, with the error that fits their stage. */
+/** Fails calls that have waited too long or that the exit of the process ends, with the error that fits their stage. */
 internal class CallDeadlines(
     private val blackboard: Blackboard,
     private val directory: BackendServerDirectory,
@@ -20,6 +21,26 @@
         .filter { !it.callerAnswered }
         .flatMap { active -> check(active = active, nowMillis = nowMillis) }
 
+    /** Fails the calls that meet [condition] and whose caller still waits, as the process exits. */
+    fun endAll(condition: (ActiveCall) -> Boolean): List<Action> = region.active.values
+        .filter { !it.callerAnswered && condition(it) }
+        .flatMap { active -> end(active) }
+
+    /** A claim whose call was sent stays without an outcome, which tells other daemons that it is undecided. */
+    private fun end(active: ActiveCall): List<Action> {
+        val isRepeatable = active.claimKey == null
+        val lastKind = active.lastProblem?.kind?.takeIf { it.runState != RunState.NO }
+        return when (active.stage) {
+            Stage.CLAIMING -> abandon(active)
+            Stage.AWAITING_HOLDER -> region.fail(active, ErrorKind.CALL_UNDECIDED)
+            Stage.READY -> {
+                claims.release(active)
+                region.fail(active, lastKind ?: ErrorKind.DRAINING)
+            }
+            Stage.SENT -> region.fail(active, if (isRepeatable) ErrorKind.BACKEND_LOST else ErrorKind.OUTCOME_UNKNOWN)
+        }
+    }
+
     private fun check(active: ActiveCall, nowMillis: Long): List<Action> {
         val isExpired = active.call.deadlineAtMillis <= nowMillis
         return when (active.stage) {
--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallDispatches.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallDispatches.kt
@@ -2,6 +2,7 @@
 
 import org.bulrushtack.core.call.ActiveCall.Stage
 import org.bulrushtack.core.control.Action
+import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.control.Event
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
@@ -14,12 +15,13 @@
 
 /** Dispatches calls. A call under a claim is retried only while no earlier attempt can have run. */
 internal class CallDispatches(
-    private val region: CallsRegion,
+    private val blackboard: Blackboard,
     private val directory: BackendServerDirectory,
     private val selector: ServerSelector,
     private val claims: CallClaims,
     random: Random,
 ) {
+    private val region = blackboard.calls
     private val backoff = Backoff(random = random)
 
     /** Sends [active] to the owner of a backend server, or schedules a retry. */
@@ -76,7 +78,7 @@
     private fun retryOrFail(active: ActiveCall, problem: Problem, nowMillis: Long): List<Action> {
         val retryAtMillis = nowMillis + backoff.delayMillis(active.attempt + 1)
         val tooLate = retryAtMillis >= active.call.deadlineAtMillis || active.callerAnswered
-        if (tooLate || active.attempt >= MAXIMUM_ATTEMPTS) {
+        if (tooLate || blackboard.members.exitDue || active.attempt >= MAXIMUM_ATTEMPTS) {
             claims.release(active)
             return region.fail(active, problem.kind)
         }
--- a/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/control/Event.kt
@@ -143,4 +143,10 @@
 
     /** A graceful shutdown of the process was requested. */
     public data object DrainRequested : Event
+
+    /** Callers have had time to learn of other daemons; a draining daemon admits no more requests. */
+    public data object AdmissionEnded : Event
+
+    /** The process is about to exit: queued work is refused, and requests whose result is pending are ended. */
+    public data object ExitDue : Event
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/dispatch/DispatchController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/dispatch/DispatchController.kt
@@ -31,6 +31,7 @@
             is Event.ServerReported -> observer.updateFromReport(event = event, nowMillis = nowMillis)
             is Event.ServerListed -> updateFromList(event = event, nowMillis = nowMillis)
             is Event.Tick -> poll(nowMillis) + refuseForClosedLedgers()
+            is Event.ExitDue -> ledgers.all().flatMap { queueDispatcher.refuseAll(it, ErrorKind.DRAINING) }
             is Event.RecordsRead -> refuseForClosedLedgers()
             else -> return emptyList()
         }
@@ -41,6 +42,7 @@
         val ledger = ledgers.find(work.server)?.takeIf { it.open }
         val server = directory.find(work.server)
         val kind = when {
+            blackboard.members.exitDue -> ErrorKind.DRAINING
             ledger == null || server == null -> ErrorKind.NOT_OWNER
             else -> admission.refusal(work = work, ledger = ledger, server = server, nowMillis = nowMillis)
         }
--- a/core/src/main/kotlin/org/bulrushtack/core/membership/MembersRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/membership/MembersRegion.kt
@@ -23,6 +23,12 @@
     /** Whether this daemon is shutting down. */
     public var leaving: Boolean = false
 
+    /** Whether new requests are admitted; no longer shortly before the process exits. */
+    public var admitsRequests: Boolean = true
+
+    /** Whether the process is about to exit, so that nothing is retried any more. */
+    public var exitDue: Boolean = false
+
     /** Whether the heartbeat count of the daemon [name] has increased within the lease. */
     public fun isLive(name: String, nowMillis: Long): Boolean {
         val member = members[name] ?: return false
--- a/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/membership/MembershipController.kt
@@ -22,6 +22,8 @@
         is Event.VmListRead -> updateVms(event)
         is Event.HeartbeatReceived -> receive(event = event, nowMillis = nowMillis)
         is Event.DrainRequested -> startLeaving()
+        is Event.ExitDue -> emptyList<Action>().also { region.exitDue = true }
+        is Event.AdmissionEnded -> emptyList<Action>().also { region.admitsRequests = false }
         else -> emptyList()
     }
 
--- a/core/src/main/kotlin/org/bulrushtack/core/request/CompletionAdmission.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionAdmission.kt
@@ -17,6 +17,7 @@
     fun rejection(request: CompletionRequest, nowMillis: Long): Problem? {
         val engines = directory.engines(request.model)
         return when {
+            !blackboard.members.admitsRequests -> Problem(kind = ErrorKind.DRAINING)
             !blackboard.log.configured -> Problem(kind = ErrorKind.NOT_READY)
             engines.isEmpty() -> Problem(kind = ErrorKind.UNKNOWN_MODEL, detail = "The model is '${request.model}'.")
             isWorkspaceFull(request.workspace) -> Problem(kind = ErrorKind.WORKSPACE_LIMIT)
--- a/core/src/main/kotlin/org/bulrushtack/core/request/CompletionController.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/request/CompletionController.kt
@@ -33,10 +33,19 @@
         is Event.AttemptProgressed ->
             emptyList<Action>().also { region.recordProgress(event.requestId, event.attempt, nowMillis) }
         is Event.RequestEnded -> emptyList<Action>().also { region.remove(event.requestId) }
-        is Event.Tick -> failExpired(nowMillis) + abandonLostOwners(nowMillis) + retryDue(nowMillis)
+        is Event.ExitDue -> endAll { it.server == null }
+        is Event.Tick -> tick(nowMillis)
         else -> emptyList()
     }
 
+    /** The owners of queued work have refused it by the first tick after the exit is due; the rest was dispatched. */
+    private fun tick(nowMillis: Long): List<Action> = when {
+        blackboard.members.exitDue -> endAll { true }
+        else -> failExpired(nowMillis) + abandonLostOwners(nowMillis) + region.active.values
+            .filter { it.retryAtMillis != null && it.retryAtMillis <= nowMillis }
+            .flatMap { attempt(active = it, nowMillis = nowMillis) }
+    }
+
     private fun admit(request: CompletionRequest, nowMillis: Long): List<Action> {
         val problem = admission.rejection(request = request, nowMillis = nowMillis)
         if (problem != null) return listOf(Action.FailRequest(requestId = request.id, problem = problem))
@@ -79,15 +88,12 @@
 
     private fun retryOrFail(active: ActiveRequest, problem: Problem, nowMillis: Long): List<Action> {
         val retryAtMillis = retries.nextAttemptAtMillis(active = active, problem = problem, nowMillis = nowMillis)
+            .takeUnless { blackboard.members.exitDue }
         if (retryAtMillis == null) return fail(active = active, problem = problem)
         region.active[active.request.id] = active.copy(retryAtMillis = retryAtMillis, lastProblem = problem)
         return emptyList()
     }
 
-    private fun retryDue(nowMillis: Long): List<Action> = region.active.values
-        .filter { it.retryAtMillis != null && it.retryAtMillis <= nowMillis }
-        .flatMap { attempt(active = it, nowMillis = nowMillis) }
-
     private fun failExpired(nowMillis: Long): List<Action> = region.active.values
         .filter { it.request.deadlineAtMillis <= nowMillis }
         .flatMap { active ->
@@ -96,6 +102,12 @@
             fail(active = active, problem = if (neverSent) lastProblem else Problem(ErrorKind.DEADLINE_EXCEEDED))
         }
 
+    private fun endAll(condition: (ActiveRequest) -> Boolean): List<Action> =
+        region.active.values.filter(condition).flatMap { active ->
+            val kind = if (active.server == null) ErrorKind.DRAINING else ErrorKind.BACKEND_LOST
+            fail(active = active, problem = Problem(kind = kind, detail = EXIT_DETAIL))
+        }
+
     /**
      * Fails the attempts of owners whose lease has expired and that sent no token for as long. A paused owner keeps its
      * connections open, so that no connection error reports it.
@@ -117,3 +129,5 @@
         return listOf(Action.FailRequest(requestId = active.request.id, problem = reported))
     }
 }
+
+private const val EXIT_DETAIL = "The daemon shut down before the answer was complete."
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpRequestRouter.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/front/HttpRequestRouter.kt
@@ -15,9 +15,12 @@
 internal class HttpRequestRouter(
     private val routes: List<Route>,
     private val metrics: DaemonMetrics,
+    private val isLeaving: () -> Boolean,
 ) : HttpHandler {
     private val log = ComponentLog(component = "front")
 
+    override val isClosing: Boolean get() = isLeaving()
+
     override fun handle(exchange: HttpExchange) {
         val requestId = UUID.randomUUID().toString()
         val request = exchange.request
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/Drain.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/Drain.kt
@@ -13,7 +13,8 @@
 
 /**
  * A graceful shutdown. The daemon first leaves the entry list that callers fetch, and accepts requests for as long as
- * callers may cache that list. It then waits until nothing runs here any more, at most [maximumMillis] in total.
+ * callers may cache that list. It then waits until nothing runs here any more, at most [maximumMillis] in total, and
+ * answers the requests that are still pending shortly before that.
  */
 internal class Drain(
     private val control: ControlThread,
@@ -31,12 +32,25 @@
         log.info { "The daemon is draining; it accepts requests for $cacheSeconds s more." }
         control.post(Event.DrainRequested)
         sleepUntil(startedAtMillis + minOf(cacheSeconds * MILLIS_PER_SECOND + CACHE_MARGIN_MILLIS, maximumMillis))
+        control.post(Event.AdmissionEnded)
         httpServer.stopAccepting()
         val deadlineMillis = startedAtMillis + maximumMillis
-        while (clock.nowMillis() < deadlineMillis && !isIdle()) sleepUntil(clock.nowMillis() + IDLE_CHECK_MILLIS)
+        if (!awaitIdle(deadlineMillis - FINAL_RESPONSE_MILLIS)) {
+            log.warn { "Requests are still pending; they get their final response now." }
+            control.post(Event.ExitDue)
+            awaitIdle(deadlineMillis)
+        }
         log.info { "The drain has finished." }
     }
 
+    private fun awaitIdle(untilMillis: Long): Boolean {
+        while (!isIdle()) {
+            if (clock.nowMillis() >= untilMillis) return false
+            sleepUntil(minOf(untilMillis, clock.nowMillis() + IDLE_CHECK_MILLIS))
+        }
+        return true
+    }
+
     private fun isIdle(): Boolean =
         control.query { blackboard, _ -> isIdle(blackboard) }.join() && httpServer.activeCount == 0
 
@@ -55,3 +69,6 @@
 private const val MILLIS_PER_SECOND = 1_000L
 private const val CACHE_MARGIN_MILLIS = 500L
 private const val IDLE_CHECK_MILLIS = 100L
+
+/** The time in which the last responses reach their callers. */
+private const val FINAL_RESPONSE_MILLIS = 500L
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/RouteTable.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/RouteTable.kt
@@ -32,8 +32,11 @@
     )
 
     /** The handler of the daemon's HTTP port. */
-    fun router(): HttpRequestRouter =
-        HttpRequestRouter(routes = callerRoutes() + operatorRoutes() + healthRoutes(), metrics = metrics)
+    fun router(): HttpRequestRouter = HttpRequestRouter(
+        routes = callerRoutes() + operatorRoutes() + healthRoutes(),
+        metrics = metrics,
+        isLeaving = { control.snapshot.leaving },
+    )
 
     private fun callerRoutes(): List<Route> {
         val entry = EntryResource(control = control, wallClock = wallClock, random = SecureRandom())
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonFixture.kt
@@ -26,6 +26,7 @@
 internal class DaemonFixture(
     daemonCount: Int = 2,
     engineOptions: EngineOptions = EngineOptions(coldMillis = 0, prefillTokensPerSecond = 1_000_000),
+    private val drainMillis: Long = 60_000,
     startDaemon: (ProcessSettings) -> RunningDaemon = ::InProcessDaemon,
 ) : AutoCloseable {
     private val group = EventLoops.create(2)
@@ -162,7 +163,7 @@
         bodyBytes = 100_000,
         headerBytes = 4_096,
         requestMillis = 500,
-        drainMillis = 60_000,
+        drainMillis = drainMillis,
         networkThreads = 2,
     )
 
