Keep one malformed entry from failing calls and from stopping a list

Reported by other operators: one odd entry among those of the servers ended the machines that read it, or they stopped following the list. Here, shown by tests on the code before: - an entry with a port beyond 65,535, an address outside of IPv4 or a key that is no header value was taken for a server. Deep nesting was refused by the JSON parser before as well (its own limit); no process ended.

Cause: fields were checked for their type alone, one error in a list was an error of the list, and the client reported a malformed address by an exception instead of a failure.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
@@ -30,8 +30,9 @@
     }
 
     /** Writes a line about an unexpected error with the places in the code that it went through. */
-    fun error(sentence: String, cause: Throwable) = warn(
+    fun error(sentence: String, cause: Throwable, vararg fields: LogField) = warn(
         sentence,
+        *fields,
         LogField("reason", cause.toString()),
         LogField("at", cause.stackTrace.take(MAXIMUM_FRAMES).joinToString(" < ")),
     )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/PeerRecords.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/PeerRecords.kt
@@ -5,6 +5,7 @@
 import org.bulrushtack.core.store.StoreRecord
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.http.HostAndPort
 import org.bulrushtack.protocol.DaemonRecord
 
 /** Reads the records that daemons write about themselves to discover one another. */
@@ -17,13 +18,19 @@
         val value = record.value ?: return
         try {
             val daemon = DaemonRecord.parseFrom(value)
-            if (daemon.name != daemons.self.name) daemons.addPeer(label = daemon.name, peerAddress = daemon.peerAddress)
+            when {
+                HostAndPort.parse(daemon.peerAddress) == null -> logUnusable(record, "malformed address")
+                daemon.name != daemons.self.name ->
+                    daemons.addPeer(label = daemon.name, peerAddress = daemon.peerAddress)
+            }
         } catch (exception: InvalidProtocolBufferException) {
-            log.warn(
-                "A daemon's record can't be read.",
-                LogField("key", record.key),
-                LogField("reason", exception.message),
-            )
+            logUnusable(record, exception.message)
         }
     }
+
+    private fun logUnusable(record: StoreRecord, reason: String?) = log.warn(
+        "A daemon's record can't be read.",
+        LogField("key", record.key),
+        LogField("reason", reason),
+    )
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -31,17 +31,21 @@
         val dropDelayMillis = if (ageMillis(topic) > STORE_OUTAGE_MILLIS) LAPSED_ENTRY_DROP_DELAY_MILLIS else 0
         local.confirmedAtMillis = maxOf(local.confirmedAtMillis ?: Long.MIN_VALUE, nowMillis - ageMillis)
         if (batch.endOffset >= local.replica.endOffset) {
+            val context = UpdateContext(nowMillis = nowMillis, dropDelayMillis = dropDelayMillis, source = source)
             local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
-                val context = UpdateContext(nowMillis = nowMillis, dropDelayMillis = dropDelayMillis, source = source)
-                when (topic) {
-                    StoreTopic.DAEMONS -> peers.learnAddress(record)
-                    StoreTopic.CRASHES -> crashReports.apply(record)
-                    else -> apply(topic, record, context)
-                }
+                // Whatever a record does to the code that applies it, the others of the batch are not read again.
+                runCatching { apply(topic, record, context) }.onFailure { logFailure(record, it) }
             }
         }
     }
 
+    private fun logFailure(record: StoreRecord, failure: Throwable) = log.error(
+        "A record could not be applied.",
+        failure,
+        LogField("key", record.key),
+        LogField("offset", record.offset),
+    )
+
     /** The time since this daemon or another last read [topic] from the store. */
     fun ageMillis(topic: StoreTopic): Long =
         topics.getValue(topic).confirmedAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
@@ -52,7 +56,13 @@
     /** The records of [topic] that a peer at [offset] lacks, or null when it lacks none. */
     fun since(topic: StoreTopic, offset: Long): RecordBatch? = topics.getValue(topic).replica.since(offset)
 
-    private fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
+    private fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) = when (topic) {
+        StoreTopic.DAEMONS -> peers.learnAddress(record)
+        StoreTopic.CRASHES -> crashReports.apply(record)
+        else -> applyUpdate(topic, record, context)
+    }
+
+    private fun applyUpdate(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
         when (val update = decoder.decode(topic, record)) {
             is StoreUpdate.Configuration -> configure(update, record, context)
             is StoreUpdate.DataCentre -> fleetUpdater.setTakenOut(update, record, context)
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -28,13 +28,14 @@
     public fun send(request: ClientRequest, listener: ResponseListener): ClientCall {
         val call = ClientExchange(request = request, listener = listener, onIdle = ::returnIdle)
         val pooled = if (request.dedicatedConnection) null else takeIdle(request.address)
-        if (pooled == null) {
-            connect(request.address).addListener { future ->
+        val address = HostAndPort.parse(request.address)
+        when {
+            pooled != null -> pooled.eventLoop().execute { call.start(pooled) }
+            address == null -> group.next().execute { call.abort("the address '${request.address}' is malformed") }
+            else -> connect(address).addListener { future ->
                 val channel = (future as ChannelFuture).channel()
                 if (future.isSuccess) call.start(channel) else call.abort(future.cause().toString())
             }
-        } else {
-            pooled.eventLoop().execute { call.start(pooled) }
         }
         request.timeoutMillis?.let { millis ->
             group.next().schedule({ call.abort(reason = "timed out") }, millis, TimeUnit.MILLISECONDS)
@@ -49,21 +50,17 @@
         return collector.result
     }
 
-    private fun connect(address: String): ChannelFuture {
-        val host = address.substringBeforeLast(':')
-        val port = address.substringAfterLast(':').toIntOrNull() ?: 0
-        return Bootstrap()
-            .group(group)
-            .channel(NioSocketChannel::class.java)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
-            .handler(object : ChannelInitializer<Channel>() {
-                override fun initChannel(channel: Channel) {
-                    channel.pipeline().addLast(HeadSizeLimiter()).addLast(HttpClientCodec())
-                }
-            })
-            .connect(host, port)
-    }
+    private fun connect(address: HostAndPort): ChannelFuture = Bootstrap()
+        .group(group)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        .handler(object : ChannelInitializer<Channel>() {
+            override fun initChannel(channel: Channel) {
+                channel.pipeline().addLast(HeadSizeLimiter()).addLast(HttpClientCodec())
+            }
+        })
+        .connect(address.host, address.port)
 
     private fun takeIdle(address: String): Channel? =
         generateSequence { idle[address]?.pollFirst() }.firstOrNull { it.isActive }
