Own interface: read a server's state on connections of their own

Found while looking for the cause of the report about a refusal that is written once more on a kept connection: the owner of a backend server reads its list of running requests on pooled connections. An earlier list that the server writes once more, after the next request was sent, was taken for the new one, and a lost dispatch that still ran could count as finished, so that its memory was handed out twice.

Change: lists and load reports get a connection each, as completions and calls have.

Evidence: HttpServerInspectorTest failed without it (the first list for the second), passes with it. That memory is handed out twice was not reproduced.

--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
@@ -15,7 +15,7 @@
 import org.bulrushtack.http.HttpMessageResponse
 import java.util.concurrent.CompletableFuture
 
-/** Reads the state of backend servers over HTTP. */
+/** Reads the state of backend servers over HTTP, on connections of their own: a copy of an older state isn't current. */
 public class HttpServerInspector(
     private val client: HttpClient,
 ) : ServerInspector {
@@ -56,8 +56,13 @@
     )
 
     private fun <T> get(address: String, path: String, parse: (JsonNode) -> T): CompletableFuture<Either<String, T>> {
-        val request =
-            ClientRequest(method = "GET", address = address, path = path, timeoutMillis = INSPECTION_TIMEOUT_MILLIS)
+        val request = ClientRequest(
+            method = "GET",
+            address = address,
+            path = path,
+            dedicatedConnection = true,
+            timeoutMillis = INSPECTION_TIMEOUT_MILLIS,
+        )
         return client.exchange(request).thenApply { result ->
             result.mapLeft { it.reason }.flatMap { decode(response = it, parse = parse) }
         }
