Hand on nothing that can't be part of a stream of events

Reported by other operators: a stream had begun and broke off, the next server answered with an error, and clients found the error's text or head in their stream, or a stream that ended as if it were complete. Here the common forms did not happen before either: an error status, a refusal, an unsigned or malformed answer and a reset after a break end the caller's connection without the last chunk. Two forms did, shown by CutStreamTest: a success (200, signed) whose body is no event stream but ends with an empty line, and the head of another response within a stream that has no framing, were split at their empty lines and handed on as events.

Cause: whatever stands between two empty lines counted as an event.

Change: an event whose first line is neither a field nor a comment is malformed; the send ends with an unknown outcome, and the stream goes on at another server or breaks off visibly.

Evidence: CutStreamTest `a response head in the midst of a stream reaches no caller` and `a stream that broke off and meets an error at the next server ends visibly, without the error's text` (eight forms) failed with the check taken out, pass with it. The own interface sends tokens with their offsets and ends a failed stream with an event of its own (docs/CALLING.md).

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -62,7 +62,7 @@
         when (if (isSuccess) relay.accept(bytes) else failureBody.accept(bytes)) {
             RelayState.READY -> Unit
             RelayState.BLOCKED -> call?.setReading(false)
-            RelayState.INVALID -> abort(SendOutcome.UNKNOWN, "too many bytes without an event or an end")
+            RelayState.INVALID -> abort(SendOutcome.UNKNOWN, "bytes that can't be part of the response")
         }
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/StreamRelay.kt
@@ -43,10 +43,12 @@
     }
 
     override fun accept(bytes: ByteArray): RelayState {
-        val events = splitter.feed(bytes)
+        val received = splitter.feed(bytes)
+        val events = received.takeWhile { it.isWellFormed }
         hasEvents = hasEvents || events.any { it.isMessage }
         events.filter { isNew(it) }.forEach { relay(it) }
         return when {
+            events.size < received.size -> RelayState.INVALID
             splitter.pendingBytes + commentBytes > MAXIMUM_EVENT_BYTES -> RelayState.INVALID
             stream?.isWritable ?: true -> RelayState.READY
             else -> RelayState.BLOCKED
--- a/forward/src/main/kotlin/org/bulrushtack/forward/stream/EventSplitter.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/stream/EventSplitter.kt
@@ -40,6 +40,7 @@
             bytes = bytes,
             id = id?.removePrefix(ID_FIELD)?.trim(),
             isMessage = id != null || lines.any { it.startsWith(DATA_FIELD) },
+            isWellFormed = FIRST_LINE.matches(lines.first()),
         )
     }
 }
@@ -48,3 +49,6 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
 private const val DATA_FIELD = "data"
+
+/** A byte order mark may come first; then a comment, a field with or without a value, or an empty line. */
+private val FIRST_LINE = Regex("\\uFEFF?(:.*|[A-Za-z0-9_-]+(:.*)?)?")
