--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
@@ -15,7 +15,7 @@
 import org.bulrushtack.http.HttpMessageResponse
 import java.util.concurrent.CompletableFuture
 
-/** Reads the state of backend servers over HTTP, on connections of their own: a copy of an older state isn't current. */
+/** Reads the state of backend servers over HTTP. On a reused connection, a copy of an older state could arrive late. */
 public class HttpServerInspector(
     private val client: HttpClient,
 ) : ServerInspector {
