Judge the first line of an event by its field name alone

Read in the diff before the landing: the expression for a well-formed first line did not match a line separator (U+2028) in a value, so that a sound event with one as its first line would have ended its send. No caller saw it.

EventSplitterTest `an event is well-formed if its first line is a field, a comment or empty` has such a line, one with CRLF, a byte order mark, comments, and three forms of an error's text. It passes; it was not run on the expression before.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/stream/EventSplitter.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/stream/EventSplitter.kt
@@ -32,6 +32,10 @@
         return remainder
     }
 
+    /** A field's name comes before its colon, if it has a value; that of a comment is empty. */
+    private fun isFieldOrComment(line: String): Boolean =
+        line.removePrefix(BYTE_ORDER_MARK).substringBefore(':').all { it.isLetterOrDigit() || it in FIELD_NAME_SYMBOLS }
+
     private fun takeEvent(): ServerSentEvent {
         val bytes = takeRemainder()
         val lines = bytes.decodeToString().lineSequence()
@@ -40,7 +44,7 @@
             bytes = bytes,
             id = id?.removePrefix(ID_FIELD)?.trim(),
             isMessage = id != null || lines.any { it.startsWith(DATA_FIELD) },
-            isWellFormed = FIRST_LINE.matches(lines.first()),
+            isWellFormed = isFieldOrComment(lines.first()),
         )
     }
 }
@@ -49,6 +53,5 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
 private const val DATA_FIELD = "data"
-
-/** A byte order mark may come first; then a comment, a field with or without a value, or an empty line. */
-private val FIRST_LINE = Regex("\\uFEFF?(:.*|[A-Za-z0-9_-]+(:.*)?)?")
+private const val BYTE_ORDER_MARK = "\uFEFF"
+private const val FIELD_NAME_SYMBOLS = "-_"
--- a/forward/src/test/kotlin/org/bulrushtack/forward/stream/EventSplitterTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/stream/EventSplitterTest.kt
@@ -48,4 +48,15 @@
     private companion object {
         const val DRAWS = 50
     }
+
+    // Guards against the text of an error that is taken for an event, and against sound events that are refused.
+    @Test
+    fun `an event is well-formed if its first line is a field, a comment or empty`() {
+        val fields = listOf("data: a\u2028b", "id: 1\r\ndata: a", "retry", "x-weight-versions: 3", "\uFEFFid: 1")
+        val sound = fields + listOf(": ping", "")
+        val malformed = listOf("HTTP/1.1 503 Busy\r\nContent-Length: 0", "{\"error\":\"busy\"}", "upstream error: busy")
+
+        sound.forEach { EventSplitter().feed("$it\n\n".toByteArray()).first().isWellFormed shouldBe true }
+        malformed.forEach { EventSplitter().feed("$it\n\n".toByteArray()).first().isWellFormed shouldBe false }
+    }
 }
