Forget the times of sends once their window is over

Cause: ColdStartLimiter kept a list of times for each server and shortened it only when it was asked about a cold server. A server that is never cold again kept all its times, and so did each lifetime that is gone.

Change: one queue in the order of time and a count for each server; whatever is older than the window leaves both.

Evidence: with the pruning taken out (scratch copy) the new test fails: '100000 should be <= 1300'. With it, the tests of core's placement pass, formatter and linter included.

--- a/core/src/main/kotlin/org/bulrushtack/core/placement/ColdStartLimiter.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/ColdStartLimiter.kt
@@ -8,19 +8,35 @@
 public class ColdStartLimiter(
     private val share: Double = DEFAULT_SHARE,
 ) {
-    private val sends = HashMap<String, ArrayDeque<Long>>()
+    private val sends = ArrayDeque<Send>()
+    private val counts = HashMap<String, Int>()
+
+    /** The number of sends that are remembered. */
+    public val rememberedSends: Int get() = sends.size
 
     /** Whether the cold server [id], which can handle [perSecond] requests, may get one more at [nowMillis]. */
     public fun allows(id: String, perSecond: Double, nowMillis: Long): Boolean {
-        val recent = sends[id] ?: return true
-        while (recent.isNotEmpty() && recent.first() <= nowMillis - WINDOW_MILLIS) recent.removeFirst()
-        return recent.size < maxOf(1, (perSecond * share).toInt())
+        forgetBefore(nowMillis - WINDOW_MILLIS)
+        return (counts[id] ?: 0) < maxOf(1, (perSecond * share).toInt())
     }
 
-    /** Records a send to [id]. */
+    /** Records a send to [id], cold or not: the server may have been cold already when its entry said nothing yet. */
     public fun recordSend(id: String, nowMillis: Long) {
-        sends.getOrPut(id) { ArrayDeque() }.addLast(nowMillis)
+        forgetBefore(nowMillis - WINDOW_MILLIS)
+        sends.addLast(Send(id = id, atMillis = nowMillis))
+        counts.merge(id, 1, Int::plus)
+    }
+
+    private fun forgetBefore(millis: Long) {
+        while (sends.isNotEmpty() && sends.first().atMillis <= millis) {
+            counts.computeIfPresent(sends.removeFirst().id) { _, count -> (count - 1).takeIf { it > 0 } }
+        }
     }
+
+    private data class Send(
+        val id: String,
+        val atMillis: Long,
+    )
 }
 
 /** After a change of leader two daemons may briefly place requests at once, and others on their own beside them. */
--- a/core/src/test/kotlin/org/bulrushtack/core/placement/ColdStartLimiterTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/ColdStartLimiterTest.kt
@@ -26,11 +26,26 @@
         }
     }
 
+    // Guards against a daemon whose heap fills with the times of sends to servers that are never cold again.
+    @Test
+    fun `sends to any server are forgotten after their window`() {
+        val testSubject = ColdStartLimiter()
+
+        repeat(100_000) { number ->
+            testSubject.recordSend("i-${number / 10_000}", nowMillis = number.toLong())
+        }
+
+        testSubject.rememberedSends shouldBeLessThanOrEqual SENDS_IN_WINDOW
+    }
+
     private companion object {
         const val DRAWS = 30
         const val PER_SECOND = 26.0
 
         /** The users' limit: requests a second times 1.5, plus 5. */
         const val LIMIT = 44
+
+        /** One send a millisecond, kept for the 1.3 s of the window. */
+        const val SENDS_IN_WINDOW = 1_300
     }
 }
