Divide the rate of a cold plain server among all daemons

Cause: the share of 0.3 of a cold server's rate was meant for placement leaders, of which there are two at a time at most. Plain servers are selected by each daemon for itself, so that the sum grew with the number of daemons.

Change: a share is an interface now. Leaders keep theirs; the daemons that select plain servers divide the rate into equal parts, and what is left over goes to some of them by rendezvous hash of the server, so that 84 daemons and a rate of 26 make 26 requests, not 84. Daemons whose view of the others differs are covered by the users' margin.

The new test asks for the exact rate with 1, 7, 84 and 1,000 daemons; with the leaders' share seven would send 49.

--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -74,8 +74,11 @@
         lastContactAtMillis?.let { known.copy(lastSeenAtMillis = it) }
     }
 
+    /** The addresses of all known daemons, live or not, including this one. */
+    public val knownAddresses: Set<String> get() = addresses.values.toSet() + self.peerAddress
+
     /** The number of known daemons, live or not, including this one. */
-    public val knownCount: Int get() = (addresses.values + self.peerAddress).toSet().size
+    public val knownCount: Int get() = knownAddresses.size
 
     /** Known addresses at which no daemon has been seen within the liveness timeout. */
     public fun unseenAddresses(nowMillis: Long): Set<String> =
--- a/core/src/main/kotlin/org/bulrushtack/core/ownership/RendezvousHash.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/ownership/RendezvousHash.kt
@@ -5,6 +5,12 @@
     /** The name with the highest score for [key], or null when there is none. */
     public fun choose(key: String, candidates: List<String>): String? = candidates.maxByOrNull { score(key, it) }
 
+    /** The number of [candidates] with a higher score for [key] than [name]. */
+    public fun rank(key: String, name: String, candidates: Collection<String>): Int {
+        val own = score(key, name)
+        return candidates.count { score(key, it) > own }
+    }
+
     private fun score(key: String, candidate: String): Long {
         var hash = FNV_OFFSET
         for (character in "$candidate/$key") {
--- a/core/src/main/kotlin/org/bulrushtack/core/placement/ColdStartLimiter.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/placement/ColdStartLimiter.kt
@@ -1,12 +1,11 @@
 package org.bulrushtack.core.placement
 
 /**
- * Limits the rate at which one daemon sends requests to a cold server. Each daemon uses only a [share] of the rate that
- * the server can handle, so that daemons which place requests at the same time, even without knowing of one another,
- * stay within it together.
+ * Limits the rate at which one daemon sends requests to a cold server. Each daemon uses only its [share] of the rate
+ * that the server can handle, so that all daemons that send to it stay within the rate together.
  */
 public class ColdStartLimiter(
-    private val share: Double = DEFAULT_SHARE,
+    private val share: ColdStartShare = LeaderColdStartShare(),
 ) {
     private val sends = ArrayDeque<Send>()
     private val counts = HashMap<String, Int>()
@@ -17,7 +16,7 @@
     /** Whether the cold server [id], which can handle [perSecond] requests, may get one more at [nowMillis]. */
     public fun allows(id: String, perSecond: Double, nowMillis: Long): Boolean {
         forgetBefore(nowMillis - WINDOW_MILLIS)
-        return (counts[id] ?: 0) < maxOf(1, (perSecond * share).toInt())
+        return (counts[id] ?: 0) < share.requests(id = id, perSecond = perSecond)
     }
 
     /** Records a send to [id], cold or not: the server may have been cold already when its entry said nothing yet. */
@@ -39,8 +38,5 @@
     )
 }
 
-/** After a change of leader two daemons may briefly place requests at once, and others on their own beside them. */
-private const val DEFAULT_SHARE = 0.3
-
 /** Longer than the second that the limit covers, since sends may arrive late. */
 private const val WINDOW_MILLIS = 1_300L
--- a/core/src/test/kotlin/org/bulrushtack/core/placement/ColdStartLimiterTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/placement/ColdStartLimiterTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
 import kotlin.random.Random
 
 class ColdStartLimiterTest : AnnotationSpec() {
@@ -26,6 +27,25 @@
         }
     }
 
+    // Guards against a cold plain server that each of many daemons sends the share meant for a placement leader.
+    @Test
+    fun `any number of daemons that select servers on their own keep a cold server's limit together`() {
+        listOf(1, 7, 84, 1_000).forEach { count ->
+            val names = (1..count).map { "vm-$it" }.toSet()
+            val daemons = names.map { ColdStartLimiter(share = EqualColdStartShare(self = it, daemons = { names })) }
+            val nowMillis = 0L
+
+            val sends = daemons.sumOf { daemon ->
+                generateSequence { daemon.allows("i-1", PER_SECOND, nowMillis) }
+                    .takeWhile { it }
+                    .onEach { daemon.recordSend("i-1", nowMillis) }
+                    .count()
+            }
+
+            sends shouldBe PER_SECOND.toInt()
+        }
+    }
+
     // Guards against a daemon whose heap fills with the times of sends to servers that are never cold again.
     @Test
     fun `sends to any server are forgotten after their window`() {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -7,6 +7,7 @@
 import org.bulrushtack.core.daemon.StartupGracePeriod
 import org.bulrushtack.core.exchange.RetryAfterPolicy
 import org.bulrushtack.core.placement.ColdStartLimiter
+import org.bulrushtack.core.placement.EqualColdStartShare
 import org.bulrushtack.core.placement.PlacementLedger
 import org.bulrushtack.core.placement.PlainServerSelector
 import org.bulrushtack.core.placement.Scheduler
@@ -139,7 +140,9 @@
         ),
         plainServerSelector = PlainServerSelector(
             health = health,
-            coldStartLimiter = ColdStartLimiter(),
+            coldStartLimiter = ColdStartLimiter(
+                share = EqualColdStartShare(self = daemons.self.peerAddress, daemons = { daemons.knownAddresses }),
+            ),
             random = random,
         ),
         health = health,
