Report connections that end while they owe a response

What operators saw: requests that were accepted and lost, and no line of the log or metric that told why the connection ended. ServerConnection logged an error at debug level and everything else not at all.

HttpHandler has an observer, which learns of each connection that ends with a request dispatched and unanswered, or read whole and not dispatched: the cause of the end, the requests held and the bytes of their bodies. The forwarding daemon writes one line, within the rate limits of its log, and counts bulrushtack.forward.lost.responses by cause. A caller that leaves is an ordinary line; all other causes are warnings. An answered connection reports nothing.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardMetrics.kt
@@ -1,12 +1,14 @@
 package org.bulrushtack.forward
 
 import io.micrometer.core.instrument.Gauge
+import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import io.micrometer.prometheusmetrics.PrometheusConfig
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.exchange.SendOutcome
 import org.bulrushtack.core.store.StoreTopic
+import org.bulrushtack.http.ConnectionEndCause
 import java.time.Duration
 
 /** The metrics of a forwarding daemon. */
@@ -24,7 +26,7 @@
     /** Records a request of [route] whose caller got a server's response with [status] after [millis]. */
     fun recordResponse(route: String, status: Int, millis: Long) {
         registry.counter("bulrushtack.forward.answered", "route", route, "status", "$status").increment()
-        timer("bulrushtack.forward.answer", "route", route).record(Duration.ofMillis(millis))
+        registry.histogram("bulrushtack.forward.answer", "route", route).record(Duration.ofMillis(millis))
     }
 
     /** Records a problem document sent to a caller. */
@@ -40,27 +42,29 @@
 
     /** Records the time from a request's arrival to the first event of its stream. */
     fun recordTimeToFirstEvent(route: String, millis: Long) =
-        timer("bulrushtack.forward.first.event", "route", route).record(Duration.ofMillis(millis))
+        registry.histogram("bulrushtack.forward.first.event", "route", route).record(Duration.ofMillis(millis))
 
     /** Records how long a request waited for its placement. */
     fun recordPlacementWait(millis: Long) =
-        timer("bulrushtack.forward.place.wait", "kind", "engine").record(Duration.ofMillis(millis))
+        registry.histogram("bulrushtack.forward.place.wait", "kind", "engine").record(Duration.ofMillis(millis))
 
     /** Records a call to the platform's store, with its duration and whether it failed. */
     fun recordStoreCall(topic: StoreTopic, millis: Long, failed: Boolean) {
         val name = topic.name.lowercase()
-        timer("bulrushtack.forward.store", "topic", name).record(Duration.ofMillis(millis))
+        registry.histogram("bulrushtack.forward.store", "topic", name).record(Duration.ofMillis(millis))
         if (failed) registry.counter("bulrushtack.forward.store.failures", "topic", name).increment()
     }
 
-    @Suppress("SpreadOperator")
-    private fun timer(name: String, tag: String, value: String): Timer =
-        Timer.builder(name).tag(tag, value).serviceLevelObjectives(*BUCKETS).register(registry)
-
-    private companion object {
-        @Suppress("MagicNumber")
-        val BUCKETS: Array<Duration> =
-            listOf(5L, 20, 50, 100, 200, 300, 500, 1_000, 1_500, 3_000, 5_000, 10_000).map { Duration.ofMillis(it) }
-                .toTypedArray()
-    }
+    /** Records a caller's connection that ended because of [cause] while it owed a response. */
+    fun recordLostResponse(cause: ConnectionEndCause) =
+        registry.counter("bulrushtack.forward.lost.responses", "cause", cause.name.lowercase()).increment()
 }
+
+@Suppress("SpreadOperator")
+private fun MeterRegistry.histogram(name: String, tag: String, value: String): Timer =
+    Timer.builder(name).tag(tag, value).serviceLevelObjectives(*BUCKETS).register(this)
+
+@Suppress("MagicNumber")
+private val BUCKETS: Array<Duration> =
+    listOf(5L, 20, 50, 100, 200, 300, 500, 1_000, 1_500, 3_000, 5_000, 10_000).map { Duration.ofMillis(it) }
+        .toTypedArray()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -24,6 +24,7 @@
     private val active = HashSet<ForwardedExchange>()
 
     override val isClosing: Boolean get() = dependencies.state.draining
+    override val observer = LostResponseObserver(metrics = dependencies.metrics, log = dependencies.log)
 
     /** The number of requests in flight. */
     val activeCount: Int get() = active.size
--- a/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/log/EventLog.kt
@@ -25,8 +25,11 @@
     }
 
     /** Writes a line about a failure. */
-    fun warn(sentence: String, vararg fields: LogField) {
-        if (failures.tryAcquire()) logger.at(Level.WARN) { fill(sentence, fields.asList()) }
+    fun warn(sentence: String, vararg fields: LogField) = warn(sentence, fields.asList())
+
+    /** Writes a line about a failure. */
+    fun warn(sentence: String, fields: List<LogField>) {
+        if (failures.tryAcquire()) logger.at(Level.WARN) { fill(sentence, fields) }
     }
 
     /** Writes a line about an unexpected error with the places in the code that it went through. */
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/ConnectionEndCause.kt
@@ -0,0 +1,25 @@
+package org.bulrushtack.http
+
+/** Why a connection of the server ended. */
+public enum class ConnectionEndCause {
+    /** After a response that announced the close. */
+    ANNOUNCED,
+
+    /** The client closed or reset it. */
+    PEER,
+
+    /** No request began, or none became complete, in time. */
+    TIMEOUT,
+
+    /** After the response to a request that could not be read completely. */
+    ERROR_RESPONSE,
+
+    /** The handler broke off its response. */
+    ABORTED,
+
+    /** An unexpected error. */
+    ERROR,
+
+    /** The process exits. */
+    EXIT,
+}
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpHandler.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpHandler.kt
@@ -5,6 +5,9 @@
     /** Whether connections are closed after their next response. */
     public val isClosing: Boolean get() = false
 
+    /** Learns of connections that end while they owe a response. */
+    public val observer: ConnectionObserver get() = ConnectionObserver.None
+
     /** Handles a complete request; the response may be sent later and on any thread. */
     public fun handle(exchange: HttpExchange)
 
--- a/http/src/main/kotlin/org/bulrushtack/http/PipelinedMessages.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/PipelinedMessages.kt
@@ -1,13 +1,21 @@
 package org.bulrushtack.http
 
 import io.netty.channel.Channel
+import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 
 /** Queues pipelined requests; when there are many, reading stops, so that the rest waits in the socket. */
 internal class PipelinedMessages {
     private val messages = ArrayDeque<HttpObject>()
 
+    /** The number of whole requests, of which the first may have begun before it was queued. */
+    val requests: Int get() = messages.count { it is LastHttpContent }
+
+    /** The queued bytes of bodies. */
+    val bytes: Long get() = messages.filterIsInstance<HttpContent>().sumOf { it.content().readableBytes().toLong() }
+
     /** Queues [message]. */
     fun add(channel: Channel, message: HttpObject) {
         messages.addLast(ReferenceCountUtil.retain(message))
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.internal.logging.InternalLoggerFactory
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
@@ -19,6 +20,7 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     private val timer = ConnectionTimer(onTimeout = ::handleTimeout)
     private val pipelined = PipelinedMessages()
+    private val report = ConnectionEndReport(handler.observer)
     private var aggregator: RequestAggregator? = null
     private var exchange: ServerExchange? = null
         set(value) {
@@ -49,6 +51,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer.stop()
+        report.ended(context = context, exchange = exchange, pipelined = pipelined)
         pipelined.clear()
         aggregator?.reset()
         exchange?.notifyClosed()
@@ -59,6 +62,7 @@
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         LOGGER.debug("A connection failed.", cause)
+        report.closing(if (cause is IOException) ConnectionEndCause.PEER else ConnectionEndCause.ERROR)
         context.close()
     }
 
@@ -78,11 +82,13 @@
             request = complete.request,
             channel = context.channel(),
             shouldKeepAlive = { complete.keepAlive && !handler.isClosing },
+            report = report,
             onComplete = { finishExchange(context) },
         )
         exchange = next
         runCatching { handler.handle(next) }.onFailure { cause ->
             LOGGER.warn("The handler of a request failed; closing the connection.", cause)
+            report.closing(ConnectionEndCause.ERROR)
             next.notifyClosed()
             if (next.isStarted) context.close() else fail(context, RequestError.HANDLER_FAILED)
         }
@@ -100,6 +106,7 @@
 
     private fun fail(context: ChannelHandlerContext, error: RequestError) {
         failed = true
+        report.closing(ConnectionEndCause.ERROR_RESPONSE)
         timer.stop()
         aggregator?.reset()
         val response = ServerExchange.message(response = handler.errorResponse(error), keepAlive = false)
@@ -111,7 +118,10 @@
         when {
             exchange != null -> Unit
             hasStarted -> fail(context = context, error = RequestError.INCOMPLETE)
-            else -> context.close()
+            else -> {
+                report.closing(ConnectionEndCause.TIMEOUT)
+                context.close()
+            }
         }
     }
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -24,6 +24,7 @@
     override val request: HttpMessageRequest,
     private val channel: Channel,
     private val shouldKeepAlive: () -> Boolean,
+    private val report: ConnectionEndReport,
     private val onComplete: () -> Unit,
 ) : HttpExchange, ResponseStream {
     private val closedListeners = CopyOnWriteArrayList<() -> Unit>()
@@ -34,6 +35,10 @@
     /** Whether the response has started. */
     val isStarted: Boolean get() = responded.get()
 
+    /** Whether the response was written to the network completely. */
+    var isAnswered = false
+        private set
+
     override val isWritable: Boolean get() = channel.isWritable
     override val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
@@ -67,6 +72,7 @@
     override fun end() = finish(DefaultLastHttpContent())
 
     override fun abort() {
+        report.closing(ConnectionEndCause.ABORTED)
         channel.close()
     }
 
@@ -76,7 +82,11 @@
 
     private fun finish(message: Any) {
         val written = channel.writeAndFlush(message)
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener { isAnswered = it.isSuccess }
+        if (!keepAlive) {
+            report.closing(ConnectionEndCause.ANNOUNCED)
+            written.addListener(ChannelFutureListener.CLOSE)
+        }
         written.addListener { channel.eventLoop().execute(onComplete) }
     }
 
