Close connections of the HTTP server without a reset

What callers saw: the write of a body broke when the request was refused before the body was whole (413, 431, 408, 400, 503 for memory), and so did every write after the last response of a connection. A caller that stops at the broken write, or a network that drops what is on its way at a reset, loses the response.

Cause: the server closed its socket right after the response. The system answers bytes that arrive at a closed socket, or that were not read from it, with a reset.

Evidence, before the change (aarch64, loopback; a caller that has its response and then sends a body of 4 MB): LingeringCloseTest, both of its then two tests: Expected null but actual was "java.net.SocketException: Broken pipe". That the response itself is lost could not be shown on loopback: Linux keeps what has arrived in the receive queue.

LingeringClose sends the end of the output at once, so that a caller doesn't wait, and reads and discards, at most 2 s and 16 MB, until the caller closes too; it passes nothing on to the decoder and reserves no memory. It ends connections after error responses, after announced closes, after timeouts, and at an exit by HttpServer.closeConnections, new, which is bounded by its caller.

--- a/http/src/main/kotlin/org/bulrushtack/http/ConnectionEndReport.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ConnectionEndReport.kt
@@ -9,6 +9,9 @@
 ) {
     private val cause = AtomicReference<ConnectionEndCause>()
 
+    /** Whether this side closes the connection, so that no further request is read from it. */
+    val isClosing: Boolean get() = cause.get() != null
+
     /** Records that this side closes the connection because of [cause]; the first cause counts. Any thread. */
     fun closing(cause: ConnectionEndCause) {
         this.cause.compareAndSet(null, cause)
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -11,16 +11,21 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpServerExpectContinueHandler
 import java.net.InetSocketAddress
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
 /** A listening HTTP/1.1 server. */
 public class HttpServer private constructor(
     private val channel: Channel,
     private val activeExchanges: AtomicInteger,
+    private val connections: Set<Channel>,
 ) {
     /** The number of requests whose response has not been written to the network completely. */
     public val activeCount: Int get() = activeExchanges.get()
 
+    /** The number of open connections. */
+    public val connectionCount: Int get() = connections.size
+
     /** The port that it listens on. */
     public val port: Int get() = (channel.localAddress() as InetSocketAddress).port
 
@@ -29,6 +34,18 @@
         channel.close().awaitUninterruptibly()
     }
 
+    /**
+     * Stops accepting and ends all connections, so that a process can exit: what was written is sent, then the end of
+     * the output. A connection closes when its client closes too, and after [millis] at the latest. Doesn't block.
+     */
+    public fun closeConnections(millis: Long) {
+        channel.close()
+        connections.forEach { connection ->
+            val handler = connection.pipeline().get(ServerConnection::class.java)
+            connection.eventLoop().execute { handler?.end(connection, ConnectionEndCause.EXIT, millis) }
+        }
+    }
+
     public companion object {
         /** Listens on [host] and [port] (0 for any free port); [limits] is evaluated for each new connection. */
         public fun start(
@@ -39,6 +56,7 @@
             handler: HttpHandler,
         ): HttpServer {
             val activeExchanges = AtomicInteger()
+            val connections = ConcurrentHashMap.newKeySet<Channel>()
             val bootstrap = ServerBootstrap()
                 .group(group)
                 .channel(NioServerSocketChannel::class.java)
@@ -48,8 +66,9 @@
                     ChannelOption.WRITE_BUFFER_WATER_MARK,
                     WriteBufferWaterMark(LOW_WATER_MARK_BYTES, HIGH_WATER_MARK_BYTES),
                 )
-                .childHandler(ConnectionInitializer(limits, handler, activeExchanges))
-            return HttpServer(bootstrap.bind(host, port).syncUninterruptibly().channel(), activeExchanges)
+                .childHandler(ConnectionInitializer(limits, handler, activeExchanges, connections))
+            val channel = bootstrap.bind(host, port).syncUninterruptibly().channel()
+            return HttpServer(channel, activeExchanges, connections)
         }
     }
 
@@ -57,8 +76,11 @@
         private val limits: () -> HttpLimits,
         private val handler: HttpHandler,
         private val activeExchanges: AtomicInteger,
+        private val connections: MutableSet<Channel>,
     ) : ChannelInitializer<Channel>() {
         override fun initChannel(channel: Channel) {
+            connections.add(channel)
+            channel.closeFuture().addListener { connections.remove(channel) }
             val limits = limits()
             val decoder = HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.headerBytes)
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -1,6 +1,6 @@
 package org.bulrushtack.http
 
-import io.netty.channel.ChannelFutureListener
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpObject
@@ -18,7 +18,13 @@
     private val handler: HttpHandler,
     private val activeExchanges: AtomicInteger,
 ) : SimpleChannelInboundHandler<HttpObject>() {
-    private val timer = ConnectionTimer(onTimeout = ::handleTimeout)
+    private val timer = ConnectionTimer { context ->
+        when {
+            exchange != null || report.isClosing -> Unit
+            aggregator?.hasStarted == true -> fail(context = context, error = RequestError.INCOMPLETE)
+            else -> end(context.channel(), ConnectionEndCause.TIMEOUT)
+        }
+    }
     private val pipelined = PipelinedMessages()
     private val report = ConnectionEndReport(handler.observer)
     private var aggregator: RequestAggregator? = null
@@ -28,7 +34,12 @@
             if (field != null && value == null) activeExchanges.decrementAndGet()
             field = value
         }
-    private var failed = false
+
+    /** Closes [channel] because of [cause]; its client has [millis] to read what was written. */
+    fun end(channel: Channel, cause: ConnectionEndCause, millis: Long = LingeringClose.DEFAULT_MILLIS) {
+        report.closing(cause)
+        LingeringClose.start(channel = channel, millis = millis)
+    }
 
     override fun channelActive(context: ChannelHandlerContext) {
         aggregator = RequestAggregator(limits = limits, allocator = context.alloc())
@@ -67,7 +78,7 @@
     }
 
     private fun process(context: ChannelHandlerContext, message: HttpObject) {
-        val active = aggregator?.takeUnless { failed } ?: return
+        val active = aggregator?.takeUnless { report.isClosing } ?: return
         if (message is HttpRequest) timer.start(context = context, millis = limits.requestMillis)
         when (val progress = active.offer(message)) {
             is RequestAggregator.Progress.Incomplete -> Unit
@@ -88,15 +99,20 @@
         exchange = next
         runCatching { handler.handle(next) }.onFailure { cause ->
             LOGGER.warn("The handler of a request failed; closing the connection.", cause)
-            report.closing(ConnectionEndCause.ERROR)
             next.notifyClosed()
-            if (next.isStarted) context.close() else fail(context, RequestError.HANDLER_FAILED)
+            if (next.isStarted) {
+                end(context.channel(), ConnectionEndCause.ERROR)
+            } else {
+                exchange = null
+                fail(context, RequestError.HANDLER_FAILED)
+            }
         }
     }
 
     private fun finishExchange(context: ChannelHandlerContext) {
         exchange = null
         aggregator?.reset()
+        if (report.isClosing) return
         timer.start(context = context, millis = limits.idleMillis)
         pipelined.drain(channel = context.channel()) { message ->
             process(context = context, message = message)
@@ -105,24 +121,11 @@
     }
 
     private fun fail(context: ChannelHandlerContext, error: RequestError) {
-        failed = true
         report.closing(ConnectionEndCause.ERROR_RESPONSE)
         timer.stop()
         aggregator?.reset()
         val response = ServerExchange.message(response = handler.errorResponse(error), keepAlive = false)
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
-    }
-
-    private fun handleTimeout(context: ChannelHandlerContext) {
-        val hasStarted = aggregator?.hasStarted ?: false
-        when {
-            exchange != null -> Unit
-            hasStarted -> fail(context = context, error = RequestError.INCOMPLETE)
-            else -> {
-                report.closing(ConnectionEndCause.TIMEOUT)
-                context.close()
-            }
-        }
+        context.writeAndFlush(response).addListener { LingeringClose.start(context.channel()) }
     }
 }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -85,7 +84,7 @@
         written.addListener { isAnswered = it.isSuccess }
         if (!keepAlive) {
             report.closing(ConnectionEndCause.ANNOUNCED)
-            written.addListener(ChannelFutureListener.CLOSE)
+            written.addListener { LingeringClose.start(channel) }
         }
         written.addListener { channel.eventLoop().execute(onComplete) }
     }
