Answer requests whose target holds a lone percent sign

What callers saw: a request for /safe/%zz was read whole and its connection closed without a response.

Cause: RequestAggregator decodes path and query, Netty's decoder throws on a malformed escape, and the exception closed the connection. Forwarding uses the raw target only, and such targets are in use, so they are passed on as they were sent: the path is the raw one then, the query empty. A path that is asked for by name (readiness, directory) doesn't match it.

Chunked bodies with trailers were answered before, too.

--- a/http/src/main/kotlin/org/bulrushtack/http/HttpMessageRequest.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpMessageRequest.kt
@@ -3,8 +3,8 @@
 /**
  * A complete request.
  *
- * @property path the path without its query
- * @property query the parameters of the query; the first value of each
+ * @property path the decoded path without its query; as it was sent if it isn't encoded properly
+ * @property query the parameters of the query, the first value of each; empty if it isn't encoded properly
  * @property target the raw request target: path and query as they were sent
  */
 public class HttpMessageRequest(
--- a/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.QueryStringDecoder
 import io.netty.handler.codec.http.TooLongHttpHeaderException
 import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.internal.logging.InternalLoggerFactory
 
 /** Aggregates the parts of one request, within limits. The memory for a body is reserved until [reset]. */
 internal class RequestAggregator(
@@ -79,12 +80,11 @@
         val request = head ?: return Progress.Incomplete
         val bytes = body?.let { ByteBufUtil.getBytes(it) } ?: ByteArray(0)
         releaseParts()
-        val target = QueryStringDecoder(request.uri())
         val headers = request.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
         val message = HttpMessageRequest(
             method = request.method().name(),
-            path = target.path(),
-            query = target.parameters().mapValues { (_, values) -> values.first() },
+            path = decodedPath(request.uri()),
+            query = decodedQuery(request.uri()),
             headers = HttpHeaderList(entries = headers),
             body = bytes,
             target = request.uri(),
@@ -110,4 +110,20 @@
     }
 }
 
+/** Callers may mean a lone percent sign as such; Netty rejects it, and then the path is what they sent. */
+private fun decodedPath(target: String): String = try {
+    QueryStringDecoder(target).path()
+} catch (malformed: IllegalArgumentException) {
+    LOGGER.debug("The path of a request is not encoded properly.", malformed)
+    target.substringBefore('?')
+}
+
+private fun decodedQuery(target: String): Map<String, String> = try {
+    QueryStringDecoder(target).parameters().mapValues { (_, values) -> values.first() }
+} catch (malformed: IllegalArgumentException) {
+    LOGGER.debug("The query of a request is not encoded properly.", malformed)
+    emptyMap()
+}
+
+private val LOGGER = InternalLoggerFactory.getInstance(RequestAggregator::class.java)
 private const val MAXIMUM_PARTS = 1_024
