Send a continuation only when its request is next

What callers saw: a stream was broken off when its caller sent a further request with Expect: 100-continue behind it.

Cause: Netty's handler for such requests writes the 100 at once, also between the parts of another response. The encoder rejects that, and the handler closes the connection on the failure, with both requests unanswered.

Evidence, before the change: UnusualRequestTest on, 'a continuation is sent only when all earlier requests are answered': IllegalState the connection ended after 'HTTP/1.1 200 OK ...

The connection sends the 100 itself when the request is the current one, and none for a request that it refuses by its head.

--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpServerCodec
-import io.netty.handler.codec.http.HttpServerExpectContinueHandler
 import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
@@ -87,7 +86,6 @@
                 .setMaxHeaderSize(limits.headerBytes)
             channel.pipeline()
                 .addLast(HttpServerCodec(decoder))
-                .addLast(HttpServerExpectContinueHandler())
                 .addLast(ServerConnection(limits, handler, activeExchanges))
         }
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.CompositeByteBuf
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpUtil
@@ -80,6 +81,7 @@
         val request = head ?: return Progress.Incomplete
         val bytes = body?.let { ByteBufUtil.getBytes(it) } ?: ByteArray(0)
         releaseParts()
+        if (HttpUtil.is100ContinueExpected(request)) request.headers().remove(HttpHeaderNames.EXPECT)
         val headers = request.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
         val message = HttpMessageRequest(
             method = request.method().name(),
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -1,9 +1,14 @@
 package org.bulrushtack.http
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.internal.logging.InternalLoggerFactory
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
@@ -81,7 +86,7 @@
         val active = aggregator?.takeUnless { closer.isClosing } ?: return
         if (message is HttpRequest) timer.start(context = context, millis = limits.requestMillis)
         when (val progress = active.offer(message)) {
-            is RequestAggregator.Progress.Incomplete -> Unit
+            is RequestAggregator.Progress.Incomplete -> if (message is HttpRequest) continueIfExpected(context, message)
             is RequestAggregator.Progress.Invalid -> fail(context = context, error = progress.error)
             is RequestAggregator.Progress.Complete -> {
                 timer.stop()
@@ -132,4 +137,10 @@
     }
 }
 
+private fun continueIfExpected(context: ChannelHandlerContext, request: HttpRequest) {
+    if (!HttpUtil.is100ContinueExpected(request)) return
+    val status = HttpResponseStatus.CONTINUE
+    context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER))
+}
+
 private val LOGGER = InternalLoggerFactory.getInstance(ServerConnection::class.java)
--- a/http/src/test/kotlin/org/bulrushtack/http/RawCaller.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/RawCaller.kt
@@ -21,6 +21,16 @@
     /** Sends a request without a body for [path]. */
     fun get(path: String) = send("GET $path HTTP/1.1\r\nHost: a\r\n\r\n")
 
+    /** Reads up to the end of the first [text]. */
+    fun readUntil(text: String) {
+        val read = StringBuilder()
+        while (!read.endsWith(text)) {
+            val byte = socket.getInputStream().read()
+            check(byte >= 0) { "the connection ended after '$read'" }
+            read.append(byte.toChar())
+        }
+    }
+
     /** Reads up to the end of the connection; a reset ends it too, with what had arrived before. */
     fun readAll(): String {
         val text = StringBuilder()
--- a/http/src/test/kotlin/org/bulrushtack/http/UnusualRequestTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/UnusualRequestTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.string.shouldEndWith
 
 /** Requests that proper callers rarely send; each that is read whole is answered. */
 class UnusualRequestTest : AnnotationSpec() {
@@ -36,6 +37,27 @@
     fun `chunked bodies with trailers are answered`() {
         val head = "POST /now HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 
-        bodies(responses("${head}3\r\nabc\r\n0\r\nX-Sum: 1\r\n\r\n")) shouldContainExactly listOf("</now>", "</now-last>")
+        val responses = responses("${head}3\r\nabc\r\n0\r\nX-Sum: 1\r\n\r\n")
+
+        bodies(responses) shouldContainExactly listOf("</now>", "</now-last>")
+    }
+
+    // Guards against a continuation inside another response, which broke that off.
+    @Test
+    fun `a continuation is sent only when all earlier requests are answered`() {
+        fixture.caller().use { caller ->
+            caller.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n")
+            val stream = fixture.handler.next().stream(status = 200, contentType = "text/plain")
+            stream.write("<1>".toByteArray())
+            caller.send("POST /now-second HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n")
+            caller.send("Connection: close\r\n\r\n")
+            fixture.awaitRead()
+            stream.write("<2>".toByteArray())
+            stream.end()
+            caller.readUntil("100 Continue")
+            caller.send("abc")
+
+            caller.readAll() shouldEndWith "</now-second>"
+        }
     }
 }
