Report the crashes of servers with long ids

After the first crash of a server whose id leaves no room in a key for the reporting process, that daemon never reported a crash again, and the request under which the server had crashed got no answer until its time limit: the exception of the write ended the code that was to answer it.

Cause: the writer takes one record at a time, marked itself as writing, and met the exception before it could take the mark back. A record that the store refuses for good also stayed the first one for ever.

Seen before, CrashReportsTest: crashes of servers with long ids are reported like others: IllegalArgumentException: the key is too long a record that can't be written doesn't hold up the others: expected:<true> but was:<false>

Records name a server whose id is longer than 120 characters by its digest, at every daemon, so that two reports of one crash still count once. A record that was not written goes behind the others.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashRecord.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashRecord.kt
@@ -1,6 +1,8 @@
 package org.bulrushtack.forward.quarantine
 
 import org.bulrushtack.core.store.StoreRecord
+import java.security.MessageDigest
+import java.util.HexFormat
 
 /** A record of the topic that daemons share their observations of crashes in. */
 internal sealed interface CrashRecord {
@@ -33,6 +35,12 @@
     }
 
     companion object {
+        /** The id by which records name the server [id]: its own, or a digest of one that is too long for a key. */
+        fun serverId(id: String): String = if (id.length <= MAXIMUM_ID_LENGTH) id else digest(id)
+
+        private fun digest(id: String): String =
+            HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(id.encodeToByteArray()))
+
         /** Decodes [record]; null if it was deleted or is of no known kind. */
         fun decode(record: StoreRecord): CrashRecord? {
             val text = record.value?.decodeToString() ?: return null
@@ -54,3 +62,6 @@
 private const val CRASH_PREFIX = "crash/"
 private const val ANSWER_PREFIX = "answer/"
 private const val SEPARATOR = '/'
+
+/** Leaves half of the longest key for the writer's id. */
+private const val MAXIMUM_ID_LENGTH = 120
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashRecordWriter.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashRecordWriter.kt
@@ -35,7 +35,7 @@
         thread.whenDone(store.put(topic = StoreTopic.CRASHES, key = key, value = value)) { result, failure ->
             isWriting = false
             val reason = failure?.toString() ?: result?.leftOrNull()?.reason
-            if (reason == null) onWritten(key, value) else onFailure(reason)
+            if (reason == null) onWritten(key, value) else onFailure(key, reason)
         }
     }
 
@@ -45,10 +45,13 @@
         writeNext()
     }
 
-    private fun onFailure(reason: String) {
+    /** The record goes behind the others, so that one which the store doesn't accept holds up none of them. */
+    private fun onFailure(key: String, reason: String) {
+        pending.remove(key)?.let { pending[key] = it }
         if (!isFailing) {
             log.warn(
                 "A report of a crash could not be written; trying again.",
+                LogField("key", key),
                 LogField("reason", reason),
                 LogField("pending", pending.size),
             )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
@@ -34,7 +34,9 @@
     fun quarantineMillis(parts: Set<String>): Long = quarantine.remainingMillis(parts, thread.nowMillis())
 
     /** Records that [serverId] crashed before it answered a request with [parts]. */
-    fun onCrash(serverId: String, parts: Set<String>) {
+    fun onCrash(serverId: String, parts: Set<String>) = recordCrash(CrashRecord.serverId(serverId), parts)
+
+    private fun recordCrash(serverId: String, parts: Set<String>) {
         val suspects = quarantine.recordCrash(serverId, parts, thread.nowMillis())
         val known = ownSuspects[serverId].orEmpty()
         if (known.containsAll(suspects)) return
--- a/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/CrashReportsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/CrashReportsTest.kt
@@ -144,6 +144,37 @@
         store.records.map { it.value == null } shouldBe listOf(false, true)
     }
 
+    // Guards against a record that the store can't take, after which no crash was reported any more.
+    @Test
+    fun `crashes of servers with long ids are reported like others`() {
+        val ids = (1..5).map { "i-$it".padEnd(MAXIMUM_KEY_BYTES, 'x') }
+
+        ids.forEach { daemons.first().reports.onCrash(it, setOf("bad")) }
+        advance(LIMIT_MILLIS)
+
+        daemons.all { it.isRefused("bad") } shouldBe true
+    }
+
+    @Test
+    fun `a crash that several daemons report counts once, however long the id of its server`() {
+        val id = "i-1".padEnd(MAXIMUM_KEY_BYTES, 'x')
+
+        daemons.forEach { it.reports.onCrash(id, setOf("sound")) }
+        advance(LIMIT_MILLIS)
+
+        daemons.any { it.isRefused("sound") } shouldBe false
+    }
+
+    @Test
+    fun `a record that can't be written doesn't hold up the others`() {
+        store.refusedKey = "crash/i-1/vm-1"
+
+        (1..6).forEach { daemons.first().reports.onCrash("i-$it", setOf("bad")) }
+        advance(LIMIT_MILLIS)
+
+        daemons.all { it.isRefused("bad") } shouldBe true
+    }
+
     @Test
     fun `records of no known kind change nothing`() {
         listOf("crash/", "answer/", "crash/i-1", "other/x", "").forEach { key ->
@@ -159,6 +190,7 @@
 
     private companion object {
         const val DAEMONS = 6
+        const val MAXIMUM_KEY_BYTES = 255
         const val DRAWS = 50
         const val REQUESTS = 100
         const val SUBJECTS = 10
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeRecordStore.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeRecordStore.kt
@@ -17,6 +17,9 @@
     /** Whether calls fail, with nothing written. */
     var isDown = false
 
+    /** The key whose records are never written. */
+    var refusedKey: String? = null
+
     /** All records in the order of their offsets. */
     val records: List<StoreRecord> get() = stored
 
@@ -37,12 +40,19 @@
         topic: StoreTopic,
         key: String,
         value: ByteArray,
-    ): CompletableFuture<Either<PlatformFailure, Long>> = result {
+    ): CompletableFuture<Either<PlatformFailure, Long>> = result(isRefused = key == refusedKey) {
+        require(key.encodeToByteArray().size <= MAXIMUM_KEY_BYTES) { "the key is too long" }
         val offset = stored.size.toLong()
         stored.add(StoreRecord(key = key, offset = offset, value = value.takeIf { it.isNotEmpty() }))
         offset
     }
 
-    private fun <T> result(call: () -> T): CompletableFuture<Either<PlatformFailure, T>> =
-        CompletableFuture.completedFuture(if (isDown) PlatformFailure("the store is down").left() else call().right())
+    private fun <T> result(isRefused: Boolean = false, call: () -> T): CompletableFuture<Either<PlatformFailure, T>> =
+        CompletableFuture.completedFuture(
+            if (isDown || isRefused) PlatformFailure("the store is down").left() else call().right(),
+        )
+
+    private companion object {
+        const val MAXIMUM_KEY_BYTES = 255
+    }
 }
