Deliver every placement decision, whatever one listener does

An unexpected error in the listener of one decision kept the decisions of the same review from all requests behind it. They had left the queue, so they waited for their deadlines while their engines' memory stayed taken.

Cause: the review passed on the decisions in one loop without a guard.

Seen before, PlacementBrokerTest: expected:<["other"]> but was:<[]>

Each listener runs under the guard that the actions of the thread have: one log line, and the loop goes on. No such error was seen in a running daemon.

Run: PlacementBrokerTest, formatter and linter of forward: passed.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
@@ -19,23 +19,24 @@
     fun nowMillis(): Long = clock.nowMillis()
 
     /** Runs [action] on the event loop. */
-    fun execute(action: () -> Unit) = loop.execute { run(action) }
+    fun execute(action: () -> Unit) = loop.execute { guard(action) }
 
     /** Runs [action] on the event loop after [millis]. */
     fun schedule(millis: Long, action: () -> Unit): ScheduledFuture<*> =
-        loop.schedule({ run(action) }, millis, TimeUnit.MILLISECONDS)
+        loop.schedule({ guard(action) }, millis, TimeUnit.MILLISECONDS)
 
     /** Runs [action] on the event loop every [millis]. */
     fun repeat(millis: Long, action: () -> Unit) {
-        loop.scheduleAtFixedRate({ run(action) }, 0, millis, TimeUnit.MILLISECONDS)
+        loop.scheduleAtFixedRate({ guard(action) }, 0, millis, TimeUnit.MILLISECONDS)
     }
 
     /** Passes the result or the failure of [future] to [action] on the event loop. */
     fun <T> whenDone(future: CompletableFuture<T>, action: (result: T?, failure: Throwable?) -> Unit) {
-        future.whenCompleteAsync({ result, failure -> run { action(result, failure) } }, loop)
+        future.whenCompleteAsync({ result, failure -> guard { action(result, failure) } }, loop)
     }
 
-    private fun run(action: () -> Unit) {
+    /** Runs [action] now; an unexpected error in it doesn't end the caller. */
+    fun guard(action: () -> Unit) {
         runCatching(action).onFailure(onError)
     }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
@@ -54,7 +54,9 @@
 
     /** Tries again to place the waiting requests. */
     fun review() {
-        scheduler.review(thread.nowMillis()).forEach { listeners.remove(it.id)?.onDecision(it) }
+        scheduler.review(thread.nowMillis()).forEach { decision ->
+            listeners.remove(decision.id)?.let { listener -> thread.guard { listener.onDecision(decision) } }
+        }
     }
 
     private fun scheduleReviews() {
