Limit the size of a response body

What callers saw: a server that sends a plain body without end had it relayed until the request's deadline, 783 to 802 MB in 5 s, and the processor and the link were gone for all others. Extensions of chunks without end went the same way.

Cause: the client limited the head of a response and what it collects itself, but no body that is relayed.

The client now counts all bytes of a response behind its head against `maximumResponseBytes`, framing included, and ends the request when they exceed it: a relayed response is cut, so that it never looks complete, and the outcome counts against its server as any broken response. A declared length above the limit is refused at the head, before anything is relayed: 502, or another server where the request may be repeated. A response to HEAD, 204 and 304 announce a length without a body and are no case of it. The forwarding daemon takes the limit from `[forward] response-limit-megabytes` (64 by default, 1 to 4,096, counts at once on a reload). The limit of what is collected is the same one now, so the collector needs none of its own. Completions of engines, which had no limit either, get one of 64 MB.

--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpEngineClient.kt
@@ -36,6 +36,7 @@
                 headers = RequestContextHeaders.of(request.context),
                 body = mapper.writeValueAsBytes(body),
                 dedicatedConnection = true,
+                maximumResponseBytes = MAXIMUM_COMPLETION_BYTES,
             ),
             listener = EngineResponseReader(mapper = mapper, listener = listener),
         )
@@ -50,3 +51,6 @@
         override fun setReading(reading: Boolean) = call.setReading(reading)
     }
 }
+
+/** Far above the longest completion. */
+private const val MAXIMUM_COMPLETION_BYTES = 67_108_864L
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
@@ -72,6 +72,13 @@
         unit = "MB",
         description = "the maximum memory for request bodies; requests beyond it are refused",
     ),
+    RESPONSE_LIMIT(
+        section = "forward",
+        key = "response-limit-megabytes",
+        default = "64",
+        unit = "MB",
+        description = "the largest response body that is relayed; a larger one is a failure of its server",
+    ),
     RESERVATION_FREE(
         section = "forward",
         key = "reservation-free-milliseconds",
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReader.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReader.kt
@@ -30,6 +30,7 @@
         directoryKeepMillis = validator.number(ForwardSettingsKey.DIRECTORY_KEEP, KEEP_RANGE) * MILLIS_PER_SECOND,
         reservationFreeMillis = validator.number(ForwardSettingsKey.RESERVATION_FREE, FREE_RANGE),
         bodyMemoryBytes = validator.number(ForwardSettingsKey.BODY_MEMORY, BODY_RANGE) * BYTES_PER_MEGABYTE,
+        responseBytes = validator.number(ForwardSettingsKey.RESPONSE_LIMIT, BODY_RANGE) * BYTES_PER_MEGABYTE,
         logLevel = validator.choice(ForwardSettingsKey.LOG_LEVEL, LOG_LEVELS),
     )
 }
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReaderTest.kt
@@ -42,6 +42,7 @@
         settings?.seeds shouldBe listOf("127.0.0.2", "127.0.0.3")
         settings?.reservationFreeMillis shouldBe 5_000
         settings?.retrySlack shouldBe 102.0
+        settings?.responseBytes shouldBe 67_108_864
     }
 
     @Test
@@ -52,6 +53,15 @@
         read(fillTemplate(without = "bounds.free_ms")).getOrNull()?.reservationFreeMillis shouldBe 4_000
     }
 
+    @Test
+    fun `a limit of response bodies that is no number of megabytes is an error that names its key`() {
+        listOf("0", "0.5", "64MB", "5000").forEach { value ->
+            val text = fillTemplate().replace("[forward]", "[forward]\nresponse-limit-megabytes = $value")
+
+            read(text).leftOrNull().orEmpty().map { it.key } shouldContain "response-limit-megabytes"
+        }
+    }
+
     @Test
     fun `a missing value without a default is an error that names its key`() {
         val errorKeys = read(fillTemplate(without = "platform.address")).leftOrNull().orEmpty().map { it.key }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
@@ -19,6 +19,7 @@
  * @property directoryKeepMillis how long callers may cache a directory response
  * @property reservationFreeMillis the longest time that memory may stay reserved on an engine after its last use
  * @property bodyMemoryBytes the most bytes of request bodies that the daemon keeps in memory at the same time
+ * @property responseBytes the largest response body that the daemon relays, with its framing
  */
 data class ForwardSettings(
     val name: String,
@@ -36,5 +37,6 @@
     val directoryKeepMillis: Long,
     val reservationFreeMillis: Long,
     val bodyMemoryBytes: Long,
+    val responseBytes: Long,
     val logLevel: String,
 )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -26,6 +26,7 @@
     val retryBudgets: RetryBudgets,
     val reservationClient: ReservationClient,
     val reservationFreeMillis: () -> Long,
+    val maximumResponseBytes: () -> Long,
     val thread: ForwardThread,
     val random: Random,
     val retryAfterPolicy: RetryAfterPolicy,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -143,7 +143,11 @@
             finish(it, attributeToServer = true)
         }
         send = backendSend
-        backendSend.start(dependencies.client, dependencies.codec.backendRequest(context.request, target.address, head))
+        val request = dependencies.codec.backendRequest(context.request, target.address, head)
+        backendSend.start(
+            client = dependencies.client,
+            request = request.copy(maximumResponseBytes = dependencies.maximumResponseBytes()),
+        )
         progress.start(context.firstResponseTimeoutMillis(target).takeIf { isRepeatable })
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -151,6 +151,7 @@
         ),
         reservationClient = HttpReservationClient(codec = platform.exchangeCodec, client = client),
         reservationFreeMillis = { this.settings.current.reservationFreeMillis },
+        maximumResponseBytes = { this.settings.current.responseBytes },
         thread = thread,
         random = random,
         retryAfterPolicy = retryAfterPolicy,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/LiveSettings.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/LiveSettings.kt
@@ -19,6 +19,7 @@
             retrySlack = settings.retrySlack,
             directoryKeepMillis = settings.directoryKeepMillis,
             reservationFreeMillis = settings.reservationFreeMillis,
+            responseBytes = settings.responseBytes,
         )
         return current != settings
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -35,7 +36,7 @@
             return
         }
         connected.pipeline().get(IdleConnectionHandler::class.java)?.let { connected.pipeline().remove(it) }
-        connected.pipeline().get(HeadSizeLimiter::class.java)?.expectHead()
+        connected.pipeline().get(ResponseSizeLimiter::class.java)?.expectHead()
         connected.pipeline().addLast(this)
         connected.writeAndFlush(ClientMessage.of(request)).addListener { written ->
             if (!written.isSuccess) abort(reason = "the request could not be sent: ${written.cause()}")
@@ -63,6 +64,8 @@
             message.decoderResult().isFailure -> abort("malformed answer")
             message is HttpResponse && message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                 abort("the server switches to another protocol")
+            message is HttpResponse && declaredBytes(request.method, message) > request.maximumResponseBytes ->
+                abort("the response declares more than ${request.maximumResponseBytes} bytes")
             !informational -> read(context = context, message = message)
         }
     }
@@ -79,8 +82,9 @@
     }
 
     private fun read(context: ChannelHandlerContext, message: HttpObject) {
+        val limiter = context.pipeline().get(ResponseSizeLimiter::class.java)
         if (message is HttpResponse) {
-            context.pipeline().get(HeadSizeLimiter::class.java)?.headReceived()
+            limiter?.expectBody(request.maximumResponseBytes)
             keepAlive = HttpUtil.isKeepAlive(message)
             val headers = message.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
             listener.onHead(status = message.status().code(), headers = HttpHeaderList(entries = headers))
@@ -88,7 +92,10 @@
         if (message is HttpContent && message.content().isReadable) {
             listener.onData(ByteBufUtil.getBytes(message.content()))
         }
-        if (message is LastHttpContent) complete(context)
+        if (message is LastHttpContent) {
+            limiter?.responseReceived()
+            complete(context)
+        }
     }
 
     private fun complete(context: ChannelHandlerContext) {
@@ -108,3 +115,11 @@
         return isFirst
     }
 }
+
+/** The length of the body that [response] announces; 0 where the announced body is never sent. */
+private fun declaredBytes(requestMethod: String, response: HttpResponse): Long {
+    val isBodySent = requestMethod != HttpMethod.HEAD.name() && response.status() !in STATUSES_WITHOUT_BODY
+    return if (isBodySent) HttpUtil.getContentLength(response, 0L) else 0L
+}
+
+private val STATUSES_WITHOUT_BODY = setOf(HttpResponseStatus.NO_CONTENT, HttpResponseStatus.NOT_MODIFIED)
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientRequest.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientRequest.kt
@@ -8,7 +8,7 @@
  * @property contentType the type of a body, or null when [headers] contain it
  * @property dedicatedConnection whether to open a connection for this request alone, so that a failure to connect
  * proves that nothing was sent
- * @property maximumResponseBytes the largest body that is collected for [HttpClient.exchange]
+ * @property maximumResponseBytes the largest response body, with its framing; a larger one fails the request
  * @property timeoutMillis the longest time until the response is complete, or null for no timeout
  */
 public data class ClientRequest(
@@ -19,9 +19,9 @@
     public val body: ByteArray = ByteArray(0),
     public val contentType: String? = "application/json",
     public val dedicatedConnection: Boolean = false,
-    public val maximumResponseBytes: Int = DEFAULT_MAXIMUM_RESPONSE_BYTES,
+    public val maximumResponseBytes: Long = DEFAULT_MAXIMUM_RESPONSE_BYTES,
     public val timeoutMillis: Long? = null,
 )
 
 /** Several times the largest page of the platform's store, in bytes. */
-private const val DEFAULT_MAXIMUM_RESPONSE_BYTES = 8_388_608
+private const val DEFAULT_MAXIMUM_RESPONSE_BYTES = 8_388_608L
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -45,8 +45,8 @@
 
     /** Sends [request] and collects the complete response. */
     public fun exchange(request: ClientRequest): CompletableFuture<Either<HttpFailure, HttpMessageResponse>> {
-        val collector = Collector(request.maximumResponseBytes)
-        collector.call = send(request = request, listener = collector)
+        val collector = Collector()
+        send(request = request, listener = collector)
         return collector.result
     }
 
@@ -57,7 +57,7 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(HeadSizeLimiter()).addLast(HttpClientCodec())
+                channel.pipeline().addLast(ResponseSizeLimiter()).addLast(HttpClientCodec())
             }
         })
         .connect(address.host, address.port)
@@ -70,13 +70,8 @@
         if (pool.size < MAXIMUM_IDLE_PER_ADDRESS) pool.addFirst(channel) else channel.close()
     }
 
-    private class Collector(
-        private val maximumBytes: Int,
-    ) : ResponseListener {
+    private class Collector : ResponseListener {
         val result = CompletableFuture<Either<HttpFailure, HttpMessageResponse>>()
-
-        @Volatile
-        var call: ClientCall? = null
         private val body = ByteArrayOutputStream()
         private var status = 0
         private var headers = HttpHeaderList()
@@ -86,14 +81,7 @@
             this.headers = headers
         }
 
-        override fun onData(bytes: ByteArray) {
-            if (body.size() + bytes.size <= maximumBytes) {
-                body.writeBytes(bytes)
-            } else {
-                result.complete(HttpFailure(sent = true, reason = "the response exceeds $maximumBytes bytes").left())
-                call?.cancel()
-            }
-        }
+        override fun onData(bytes: ByteArray) = body.writeBytes(bytes)
 
         override fun onComplete() {
             val response = HttpMessageResponse(
--- a/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
@@ -47,6 +47,7 @@
             "header lines" to ("HTTP/1.1 200 OK\r\n" to "X-Many: $filler\r\n"),
             "a body" to ("HTTP/1.1 200 OK\r\n\r\n" to filler),
             "a chunk's head" to (chunked to "1;$filler"),
+            "chunks that are mostly extensions" to (chunked to "1;$filler\r\nx\r\n"),
             "chunks" to (chunked to "3e8\r\n$filler\r\n"),
             "trailers" to ("${chunked}0\r\n" to "X-Many: $filler\r\n"),
             "bytes that are no response" to ("" to filler),
@@ -124,6 +125,25 @@
         }
     }
 
+    @Test
+    fun `a declared length above the limit ends the request at its head`() {
+        val head = "HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n"
+        val server = RawServer { socket ->
+            RawServer.readRequest(socket)
+            RawServer.send(socket, head)
+            socket.getInputStream().read()
+        }
+        server.use {
+            val limited = request(server).copy(maximumResponseBytes = 1_000)
+
+            val result = testSubject.exchange(limited).get(LIMIT_SECONDS, TimeUnit.SECONDS)
+
+            result.leftOrNull().shouldNotBeNull().sent shouldBe true
+            val ofHead = testSubject.exchange(limited.copy(method = "HEAD")).get(LIMIT_SECONDS, TimeUnit.SECONDS)
+            ofHead.getOrNull().shouldNotBeNull().status shouldBe 200
+        }
+    }
+
     private companion object {
         const val RESETS = 20
         const val LARGE_BODY_BYTES = 16_000_000
