Read a bounded part of a response in each turn of the network thread

What callers saw: beside responses that arrive as fast as the daemon reads, all other requests waited: 0.85 s in the median and 1.4 s at most beside 50 of them.

Cause: the network thread reads up to 16 buffers of 64 kB from one connection before it turns to the next.

A connection for one request now reads one buffer of at most 16 kB in a turn.

--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
@@ -32,7 +33,7 @@
         when {
             pooled != null -> pooled.eventLoop().execute { call.start(pooled) }
             address == null -> group.next().execute { call.abort("the address '${request.address}' is malformed") }
-            else -> connect(address).addListener { future ->
+            else -> connect(address, request.dedicatedConnection).addListener { future ->
                 val channel = (future as ChannelFuture).channel()
                 if (future.isSuccess) call.start(channel) else call.abort(future.cause().toString())
             }
@@ -50,11 +51,12 @@
         return collector.result
     }
 
-    private fun connect(address: HostAndPort): ChannelFuture = Bootstrap()
+    private fun connect(address: HostAndPort, isDedicated: Boolean): ChannelFuture = Bootstrap()
         .group(group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, if (isDedicated) FAIR_READS else null)
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 channel.pipeline().addLast(ResponseSizeLimiter()).addLast(HttpClientCodec())
@@ -101,3 +103,13 @@
 
 private const val DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000
 private const val MAXIMUM_IDLE_PER_ADDRESS = 16
+private const val MINIMUM_READ_BYTES = 512
+private const val FIRST_READ_BYTES = 2_048
+private const val MAXIMUM_READ_BYTES = 16_384
+
+/**
+ * One bounded read for each turn of the network thread, so that no response delays other connections. A pooled
+ * connection reads all there is, so that bytes behind a response are found before its next request.
+ */
+private val FAIR_READS = AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES)
+    .maxMessagesPerRead(1)
--- a/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
@@ -2,9 +2,12 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldBeIn
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
+import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
 /** Sends requests to servers whose bytes are no response, or belong to no request. */
@@ -144,7 +147,52 @@
         }
     }
 
+    // Guards against a response that holds up all other connections of the network thread.
+    @Test
+    fun `a response without end takes a bounded part of each turn of the network thread`() {
+        endless(start = "HTTP/1.1 200 OK\r\n\r\n", part = "x".repeat(1_000_000)).use { server ->
+            val unlimited = request(server).copy(dedicatedConnection = true, maximumResponseBytes = Long.MAX_VALUE)
+            val turns = TurnRecorder(group.next() as EventLoop)
+
+            testSubject.send(unlimited, turns)
+
+            turns.largest.get(LIMIT_SECONDS, TimeUnit.SECONDS) shouldBeLessThanOrEqual MAXIMUM_BYTES_PER_TURN
+        }
+    }
+
+    /** Records the most bytes that one turn of [loop] reads, over the first [OBSERVED_BYTES]. */
+    private class TurnRecorder(
+        private val loop: EventLoop,
+    ) : ResponseListener {
+        val largest = CompletableFuture<Int>()
+        private var largestBytes = 0
+        private var turnBytes = 0
+        private var totalBytes = 0
+
+        override fun onHead(status: Int, headers: HttpHeaderList) = Unit
+
+        override fun onData(bytes: ByteArray) {
+            if (turnBytes == 0) loop.execute(::finishTurn)
+            turnBytes += bytes.size
+        }
+
+        private fun finishTurn() {
+            largestBytes = maxOf(largestBytes, turnBytes)
+            totalBytes += turnBytes
+            turnBytes = 0
+            if (totalBytes > OBSERVED_BYTES) largest.complete(largestBytes)
+        }
+
+        override fun onComplete() = Unit
+
+        override fun onFailure(failure: HttpFailure) {
+            largest.completeExceptionally(IllegalStateException(failure.reason))
+        }
+    }
+
     private companion object {
+        const val OBSERVED_BYTES = 20_000_000
+        const val MAXIMUM_BYTES_PER_TURN = 65_536
         const val RESETS = 20
         const val LARGE_BODY_BYTES = 16_000_000
         const val LIMIT_SECONDS = 10L
