--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -4,6 +4,7 @@
 import arrow.core.left
 import arrow.core.right
 import io.netty.bootstrap.Bootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
@@ -32,7 +33,7 @@
         when {
             pooled != null -> pooled.eventLoop().execute { call.start(pooled) }
             address == null -> group.next().execute { call.abort("the address '${request.address}' is malformed") }
-            else -> connect(address).addListener { future ->
+            else -> connect(address, request.dedicatedConnection).addListener { future ->
                 val channel = (future as ChannelFuture).channel()
                 if (future.isSuccess) call.start(channel) else call.abort(future.cause().toString())
             }
@@ -45,19 +46,20 @@
 
     /** Sends [request] and collects the complete response. */
     public fun exchange(request: ClientRequest): CompletableFuture<Either<HttpFailure, HttpMessageResponse>> {
-        val collector = Collector(request.maximumResponseBytes)
-        collector.call = send(request = request, listener = collector)
+        val collector = Collector()
+        send(request = request, listener = collector)
         return collector.result
     }
 
-    private fun connect(address: HostAndPort): ChannelFuture = Bootstrap()
+    private fun connect(address: HostAndPort, isDedicated: Boolean): ChannelFuture = Bootstrap()
         .group(group)
         .channel(NioSocketChannel::class.java)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, if (isDedicated) FAIR_READS else null)
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(HeadSizeLimiter()).addLast(HttpClientCodec())
+                channel.pipeline().addLast(ResponseSizeLimiter()).addLast(HttpClientCodec())
             }
         })
         .connect(address.host, address.port)
@@ -70,13 +72,8 @@
         if (pool.size < MAXIMUM_IDLE_PER_ADDRESS) pool.addFirst(channel) else channel.close()
     }
 
-    private class Collector(
-        private val maximumBytes: Int,
-    ) : ResponseListener {
+    private class Collector : ResponseListener {
         val result = CompletableFuture<Either<HttpFailure, HttpMessageResponse>>()
-
-        @Volatile
-        var call: ClientCall? = null
         private val body = ByteArrayOutputStream()
         private var status = 0
         private var headers = HttpHeaderList()
@@ -86,14 +83,7 @@
             this.headers = headers
         }
 
-        override fun onData(bytes: ByteArray) {
-            if (body.size() + bytes.size <= maximumBytes) {
-                body.writeBytes(bytes)
-            } else {
-                result.complete(HttpFailure(sent = true, reason = "the response exceeds $maximumBytes bytes").left())
-                call?.cancel()
-            }
-        }
+        override fun onData(bytes: ByteArray) = body.writeBytes(bytes)
 
         override fun onComplete() {
             val response = HttpMessageResponse(
@@ -113,3 +103,13 @@
 
 private const val DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000
 private const val MAXIMUM_IDLE_PER_ADDRESS = 16
+private const val MINIMUM_READ_BYTES = 512
+private const val FIRST_READ_BYTES = 2_048
+private const val MAXIMUM_READ_BYTES = 16_384
+
+/**
+ * One bounded read for each turn of the network thread, so that no response delays other connections. A pooled
+ * connection reads all there is, so that bytes behind a response are found before its next request.
+ */
+private val FAIR_READS = AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, FIRST_READ_BYTES, MAXIMUM_READ_BYTES)
+    .maxMessagesPerRead(1)
