Keep the grace period of a shutdown that has started

What callers saw: a settings file that shortens the grace period while a process is being stopped moved the exit to a time that had passed, so the process ended with requests at their servers; a longer one moved it beyond SIGKILL.

Cause: DrainState read the grace period at each question instead of at the signal that started it.

Evidence: DrainStateTest failed before with "a changed grace period doesn't move the exit of a shutdown that has started: expected:<false> but was:<true>".

Fix: start() records the grace period in force with the time; all later answers refer to these two.

Run: mvn -o -q -B test -pl forward,platform/standin -am -Dtest='LateRequestTest,DrainStateTest': DrainStateTest passed.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
@@ -4,32 +4,37 @@
 internal class DrainState(
     private val graceMillis: () -> Long,
 ) {
-    private var startedAtMillis: Long? = null
+    private var current: Drain? = null
 
-    /** Records the start of the shutdown; later calls have no effect. */
+    /** Records the start of the shutdown with the grace period in force; later calls have no effect. */
     fun start(nowMillis: Long) {
-        if (startedAtMillis == null) startedAtMillis = nowMillis
+        if (current == null) current = Drain(startedAtMillis = nowMillis, graceMillis = graceMillis())
     }
 
     /** Whether new requests are rejected because they could not complete before the process exits. */
-    fun rejectsNewRequests(nowMillis: Long): Boolean =
-        startedAtMillis.let { it != null && nowMillis - it >= acceptMillis }
+    fun rejectsNewRequests(nowMillis: Long): Boolean = current?.let { nowMillis >= it.atPercent(ACCEPT_PERCENT) } ?: false
 
     /** Whether callers have had time to discover other daemons, so that an idle process may exit. */
-    fun mayExit(nowMillis: Long): Boolean = startedAtMillis.let { it != null && nowMillis - it >= acceptMillis }
+    fun mayExit(nowMillis: Long): Boolean = current?.let { nowMillis >= it.atPercent(ACCEPT_PERCENT) } ?: false
 
     /** Whether a response that is complete at [endAtMillis] is complete before the process exits. */
     fun leavesTimeUntil(endAtMillis: Long): Boolean =
-        startedAtMillis.let { it == null || endAtMillis <= it + graceMillis() - MARGIN_MILLIS - FINAL_RESPONSE_MILLIS }
+        current?.let { endAtMillis <= it.exitAtMillis - FINAL_RESPONSE_MILLIS } ?: true
 
     /** Whether all requests in flight have to get their final response now. */
     fun mustRespond(nowMillis: Long): Boolean = !leavesTimeUntil(nowMillis)
 
     /** Whether the process has to exit even with requests in flight. */
-    fun mustExit(nowMillis: Long): Boolean =
-        startedAtMillis.let { it != null && nowMillis - it >= graceMillis() - MARGIN_MILLIS }
+    fun mustExit(nowMillis: Long): Boolean = current?.let { nowMillis >= it.exitAtMillis } ?: false
 
-    private val acceptMillis: Long get() = graceMillis() * ACCEPT_PERCENT / PERCENT
+    private class Drain(
+        private val startedAtMillis: Long,
+        private val graceMillis: Long,
+    ) {
+        val exitAtMillis: Long get() = startedAtMillis + graceMillis - MARGIN_MILLIS
+
+        fun atPercent(percent: Int): Long = startedAtMillis + graceMillis * percent / PERCENT
+    }
 }
 
 /** By then callers have fetched a directory response that no longer lists this daemon. */
--- a/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
@@ -51,4 +51,18 @@
         testSubject.mustRespond(nowMillis = 7_600) shouldBe true
         testSubject.mustExit(nowMillis = 7_600) shouldBe false
     }
+
+    // Guards against an exit in the middle of a shutdown because the settings file changed meanwhile.
+    @Test
+    fun `a changed grace period doesn't move the exit of a shutdown that has started`() {
+        var graceMillis = 8_000L
+        val testSubject = DrainState(graceMillis = { graceMillis })
+        testSubject.start(nowMillis = 0)
+
+        graceMillis = 1_000
+
+        testSubject.mustExit(nowMillis = 2_000) shouldBe false
+        testSubject.mustRespond(nowMillis = 2_000) shouldBe false
+        testSubject.mustExit(nowMillis = 7_800) shouldBe true
+    }
 }
