Admit during a shutdown only what is certain to be answered

What callers saw: calls that may not be repeated were passed on during a shutdown and ended with an unknown outcome shortly before the exit; streams that were taken late in the grace period were cut at the exit.

Cause: admission trusted an estimate of the answer's time (three objectives of a call, the decode time of a prompt). A server that is slower than that takes the request over the exit, whenever the request came.

Fix: a request that may not be repeated counts with all of the time until its deadline, since an unknown outcome costs its caller more than a refusal before the send. So does every request that arrives after 35 % of the grace period, when callers have had time to learn of the shutdown. Others are still served on an estimate.

--- a/core/src/main/kotlin/org/bulrushtack/core/exchange/AnswerTimeEstimate.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/exchange/AnswerTimeEstimate.kt
@@ -16,6 +16,10 @@
     val remainderMillis: Long,
 ) {
     public companion object {
+        /** The estimate for a request that may take all of the [deadlineMillis] that are left until its deadline. */
+        public fun untilDeadline(deadlineMillis: Long): AnswerTimeEstimate =
+            AnswerTimeEstimate(firstEventMillis = 0, remainderMillis = deadlineMillis)
+
         /** The estimate for a call of [route] to a plain service, whose answer has no events. */
         public fun ofCall(route: Route): AnswerTimeEstimate =
             AnswerTimeEstimate(firstEventMillis = route.objectiveMillis * CALL_OBJECTIVES, remainderMillis = 0)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
@@ -12,10 +12,18 @@
     }
 
     /** Whether new requests are rejected because they could not complete before the process exits. */
-    fun rejectsNewRequests(nowMillis: Long): Boolean = current?.let { nowMillis >= it.atPercent(ACCEPT_PERCENT) } ?: false
+    fun rejectsNewRequests(nowMillis: Long): Boolean =
+        current?.let { nowMillis >= it.atPercent(ACCEPT_PERCENT) } ?: false
+
+    /**
+     * Whether a request that arrives now may be passed on because it is expected to complete before the process exits.
+     * A later one must be certain to.
+     */
+    fun trustsEstimates(nowMillis: Long): Boolean =
+        current?.let { nowMillis < it.atPercent(ESTIMATE_PERCENT) } ?: true
 
     /** Whether callers have had time to discover other daemons, so that an idle process may exit. */
-    fun mayExit(nowMillis: Long): Boolean = current?.let { nowMillis >= it.atPercent(ACCEPT_PERCENT) } ?: false
+    fun mayExit(nowMillis: Long): Boolean = rejectsNewRequests(nowMillis)
 
     /** Whether a response that is complete at [endAtMillis] is complete before the process exits. */
     fun leavesTimeUntil(endAtMillis: Long): Boolean =
@@ -41,6 +49,9 @@
 private const val ACCEPT_PERCENT = 45
 private const val PERCENT = 100
 
+/** Until then a caller may not have learned of the shutdown. */
+private const val ESTIMATE_PERCENT = 35
+
 /** The part of the grace period that the process needs to exit. */
 private const val MARGIN_MILLIS = 300L
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -5,6 +5,7 @@
 import org.bulrushtack.core.exchange.AnswerTimeEstimate
 import org.bulrushtack.core.exchange.StreamTimeouts
 import org.bulrushtack.core.placement.PromptShape
+import org.bulrushtack.core.route.Repeatability
 import org.bulrushtack.core.route.Route
 import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.Workspace
@@ -84,6 +85,7 @@
         val nowMillis = dependencies.thread.nowMillis()
         val deadlineMillis = minOf(route.timeoutMillis, head.deadlineMillis ?: Long.MAX_VALUE)
         val service = route.service(dependencies.random.nextDouble())
+        val trustsEstimate = route.repeatability != Repeatability.ONCE && drain.trustsEstimates(nowMillis)
         val context = ForwardedRequestContext(
             requestId = head.attemptId.orEmpty(),
             service = service,
@@ -93,7 +95,11 @@
             timeouts = StreamTimeouts.forRoute(route = route, finalMillis = deadlineMillis),
             receivedAtMillis = nowMillis,
             deadlineAtMillis = nowMillis + deadlineMillis,
-            answerTime = answerTime(route, service, head.prompt),
+            answerTime = if (trustsEstimate) {
+                answerTime(route, service, head.prompt)
+            } else {
+                AnswerTimeEstimate.untilDeadline(deadlineMillis)
+            },
             request = exchange.request,
         )
         val forwarded = ForwardedExchange(dependencies, exchange, context, onFinished = { active.remove(it) })
--- a/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
@@ -13,6 +13,7 @@
         testSubject.rejectsNewRequests(nowMillis = 100_000) shouldBe false
         testSubject.mayExit(nowMillis = 100_000) shouldBe false
         testSubject.mustExit(nowMillis = 100_000) shouldBe false
+        testSubject.trustsEstimates(nowMillis = 100_000) shouldBe true
     }
 
     @Test
@@ -21,6 +22,8 @@
 
         testSubject.start(nowMillis = 1_000)
 
+        testSubject.trustsEstimates(nowMillis = 3_700) shouldBe true
+        testSubject.trustsEstimates(nowMillis = 3_900) shouldBe false
         testSubject.rejectsNewRequests(nowMillis = 4_500) shouldBe false
         testSubject.mayExit(nowMillis = 4_500) shouldBe false
         testSubject.rejectsNewRequests(nowMillis = 4_700) shouldBe true
