Leave a slow server its request when no other can answer before the exit

What callers saw: during a shutdown a repeatable request whose server was slow ended with 502, or a stream was cut, in the middle of the grace period, although that server's answer came in time.

Cause: the send was given up as soon as another server was placed. The new attempt was then refused, because its answer would have ended after the exit, and the request had no send left. Two decisions on the same request used different conditions.

Evidence: LateRequestTest failed before with "a slow server keeps its request when another server could not answer before the exit: expected:<200> but was:<502>".

Fix: a send is only given up for a placement that leaves the time to answer before the exit; otherwise it goes on, and the replacement is looked for again as for any other placement that would not be sooner.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/UnresponsiveSendReplacement.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/UnresponsiveSendReplacement.kt
@@ -47,6 +47,9 @@
         return true
     }
 
+    private fun canAnswer(target: SendTarget): Boolean =
+        dependencies.drain.leavesTimeUntil(context.expectedEndAtMillis(dependencies.thread.nowMillis(), target))
+
     private fun log(sentence: String, current: SendAttempt, reason: String) = dependencies.log.info(
         sentence,
         LogField("request", context.requestId),
@@ -63,6 +66,7 @@
             val expectedMillis = target.placement?.timeToFirstTokenMillis ?: 0.0
             when {
                 target.serverId == current.serverId -> keep("No other server is available.")
+                !canAnswer(target) -> keep("The other server could not answer before the exit.")
                 expectedMillis > current.progress.silentMillis -> keep("The other placement would not be sooner.")
                 !resendGate.tryWithdraw(SendOutcome.UNKNOWN) -> keep("The retry budget allows no resend.")
                 else -> {
