Take the values of a settings file as they are written

What operators could see: a settings file with a value that refers to itself ended the main thread of a forwarding daemon at the next poll of the file. The process went on, but read no settings and didn't halt at the end of a shutdown.

Cause: the INI library interpolates values and throws IllegalStateException, which is no error of the file for us.

Evidence: SettingsFileTest failed before with "a value that refers to itself is an error: IllegalStateException: Infinite loop in property interpolation of ${daemon.name}". Files cut off at each byte before the last value, bytes that are no text, a missing file and a directory were errors before and are.

Fix: no interpolation; the format documents none, and the environment is no part of the settings.

Run: mvn -o -q -B verify -pl daemon -am with SettingsFileTest: passed, formatter and linter included.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SettingsFile.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SettingsFile.kt
@@ -24,7 +24,7 @@
     }
 
     private fun load(): Either<List<SettingsFileError>, INIConfiguration> = try {
-        Files.newBufferedReader(path).use { reader -> INIConfiguration().apply { read(reader) } }.right()
+        Files.newBufferedReader(path).use { reader -> uninterpolated().apply { read(reader) } }.right()
     } catch (exception: IOException) {
         listOf(SettingsFileError("$path", "", "", "can't be read: ${exception.message}")).left()
     } catch (exception: ConfigurationException) {
@@ -32,4 +32,7 @@
     }
 }
 
+/** Values are taken as they are written; a reference to another value or to the environment is none. */
+private fun uninterpolated() = INIConfiguration().apply { setInterpolator(null) }
+
 private const val FORWARD_SECTION = "forward"
