Survive a reload signal that arrives before the daemon runs

What callers saw: a SIGHUP while a process starts ended it (status 129), and with it all connections; an entry daemon took each SIGHUP for a stop, drained and refused its callers with 503.

Cause: the JVM shuts down at SIGHUP unless a handler is installed. Forwarding daemons installed theirs after their settings, classes and components were loaded, entry daemons never.

Fix: main ignores SIGHUP first of all. A forwarding daemon reads its file once more when it runs, so that a change behind an ignored signal isn't missed; an entry daemon logs that it reads the file at a start only. What remains is the time until the JVM has called main.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
@@ -14,6 +14,8 @@
 import org.bulrushtack.program.CommandLine
 import org.slf4j.LoggerFactory
 import org.slf4j.bridge.SLF4JBridgeHandler
+import sun.misc.Signal
+import sun.misc.SignalHandler
 import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
@@ -21,6 +23,8 @@
 
 /** Entry point of `bulrushtackd`: reads the settings file, then checks it only or runs the daemon. */
 fun main(arguments: Array<String>) {
+    // Without a handler SIGHUP ends a JVM; there is nothing to reload before the daemon runs.
+    Signal.handle(Signal("HUP"), SignalHandler.SIG_IGN)
     val parser = ArgParser(programName = "bulrushtackd", strictSubcommandOptionsOrder = false)
     val file by parser.argument(type = ArgType.String, fullName = "FILE", description = "the settings file")
     val check by parser.option(ArgType.Boolean, fullName = "check", description = "only check FILE").default(false)
@@ -52,6 +56,7 @@
     val identity = MemberIdentity(name = settings.name, incarnation = incarnation, dataCentre = settings.dataCentre)
     val daemon = EntryDaemon(settings = settings, identity = identity, seed = seed)
     val stopped = CountDownLatch(1)
+    val log = LoggerFactory.getLogger("bulrushtack.daemon")
     Runtime.getRuntime().addShutdownHook(
         Thread {
             daemon.drain()
@@ -59,6 +64,7 @@
             stopped.countDown()
         },
     )
+    Signal.handle(Signal("HUP")) { log.info("[daemon] The settings file is only read at a start.") }
     daemon.start()
     stopped.await()
 }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/ForwardingProcess.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/ForwardingProcess.kt
@@ -30,7 +30,7 @@
         Signal.handle(Signal("INT")) { daemon.drain() }
         Signal.handle(Signal("HUP")) { reload(reason = "SIGHUP") }
         daemon.start()
-        while (!daemon.awaitTermination(SETTINGS_POLL_MILLIS)) reload(reason = POLL_REASON)
+        do reload(reason = POLL_REASON) while (!daemon.awaitTermination(SETTINGS_POLL_MILLIS))
         Runtime.getRuntime().halt(0)
     }
 
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
@@ -2,6 +2,7 @@
 
 import org.bulrushtack.daemon.settings.ProcessSettings
 import java.nio.file.Files
+import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
 /** A daemon in its own process, which a test can kill, pause and resume. */
@@ -10,7 +11,7 @@
 ) : RunningDaemon {
     private val file = Files.createTempFile("daemon", ".ini").also { Files.writeString(it, ini(settings)) }
     private val output = Files.createTempFile("daemon", ".log")
-    private val process = ProcessBuilder(command())
+    private val process = ProcessBuilder(command(file))
         .redirectErrorStream(true)
         .redirectOutput(output.toFile())
         .start()
@@ -38,17 +39,6 @@
         return pattern.find(Files.readString(output))!!.groupValues[1].toInt()
     }
 
-    private fun command(): List<String> = listOf(
-        "${System.getProperty("java.home")}/bin/java",
-        "-Xmx256m",
-        "-XX:+UseSerialGC",
-        "-XX:TieredStopAtLevel=1",
-        "-cp",
-        System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path"),
-        "org.bulrushtack.daemon.MainKt",
-        file.toString(),
-    )
-
     private fun ini(settings: ProcessSettings): String = """
         [daemon]
         name = ${settings.name}
@@ -62,6 +52,20 @@
         [operators]
         bootstrap-key-hash = ${settings.bootstrapKeyHash}
     """.trimIndent()
+
+    companion object {
+        /** The command that starts a daemon with the settings in [file]. */
+        fun command(file: Path): List<String> = listOf(
+            "${System.getProperty("java.home")}/bin/java",
+            "-Xmx256m",
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-cp",
+            System.getProperty("surefire.test.class.path") ?: System.getProperty("java.class.path"),
+            "org.bulrushtack.daemon.MainKt",
+            file.toString(),
+        )
+    }
 }
 
 private const val MILLIS_PER_SECOND = 1_000
