--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -1,11 +1,11 @@
 package org.bulrushtack.http
 
-import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.util.internal.logging.InternalLoggerFactory
+import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
 
 /**
@@ -17,7 +17,15 @@
     private val handler: HttpHandler,
     private val activeExchanges: AtomicInteger,
 ) : SimpleChannelInboundHandler<HttpObject>() {
-    private val timer = ConnectionTimer(onTimeout = ::handleTimeout)
+    /** Closes the connection. */
+    val closer = ConnectionCloser(handler.observer)
+    private val timer = ConnectionTimer { context ->
+        when {
+            exchange != null || closer.isClosing -> Unit
+            aggregator?.hasStarted == true -> fail(context = context, error = RequestError.INCOMPLETE)
+            else -> closer.close(context.channel(), ConnectionEndCause.TIMEOUT)
+        }
+    }
     private val pipelined = PipelinedMessages()
     private var aggregator: RequestAggregator? = null
     private var exchange: ServerExchange? = null
@@ -26,7 +34,7 @@
             if (field != null && value == null) activeExchanges.decrementAndGet()
             field = value
         }
-    private var failed = false
+    private var isDelivered = true
 
     override fun channelActive(context: ChannelHandlerContext) {
         aggregator = RequestAggregator(limits = limits, allocator = context.alloc())
@@ -35,13 +43,18 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (exchange == null) {
-            process(context = context, message = message)
-        } else {
-            pipelined.add(channel = context.channel(), message = message)
+        when {
+            closer.isClosing -> closer.drop(message)
+            exchange == null -> process(context = context, message = message)
+            else -> pipelined.add(channel = context.channel(), message = message)
         }
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        deliver(context)
+        super.channelReadComplete(context)
+    }
+
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
         if (context.channel().isWritable) exchange?.notifyWritable()
         super.channelWritabilityChanged(context)
@@ -49,6 +62,7 @@
 
     override fun channelInactive(context: ChannelHandlerContext) {
         timer.stop()
+        closer.ended(context = context, exchange = exchange, pipelined = pipelined)
         pipelined.clear()
         aggregator?.reset()
         exchange?.notifyClosed()
@@ -59,60 +73,62 @@
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         LOGGER.debug("A connection failed.", cause)
+        closer.closing(if (cause is IOException) ConnectionEndCause.PEER else ConnectionEndCause.ERROR)
         context.close()
     }
 
     private fun process(context: ChannelHandlerContext, message: HttpObject) {
-        val active = aggregator?.takeUnless { failed } ?: return
+        val active = aggregator?.takeUnless { closer.isClosing } ?: return
         if (message is HttpRequest) timer.start(context = context, millis = limits.requestMillis)
         when (val progress = active.offer(message)) {
             is RequestAggregator.Progress.Incomplete -> Unit
             is RequestAggregator.Progress.Invalid -> fail(context = context, error = progress.error)
-            is RequestAggregator.Progress.Complete -> dispatch(context = context, complete = progress)
+            is RequestAggregator.Progress.Complete -> {
+                timer.stop()
+                isDelivered = false
+                exchange = ServerExchange(
+                    request = progress.request,
+                    channel = context.channel(),
+                    shouldKeepAlive = { progress.keepAlive && (!handler.isClosing || !pipelined.isEmpty) },
+                    closer = closer,
+                    onComplete = { finishExchange(context) },
+                )
+            }
         }
     }
 
-    private fun dispatch(context: ChannelHandlerContext, complete: RequestAggregator.Progress.Complete) {
-        timer.stop()
-        val next = ServerExchange(
-            request = complete.request,
-            channel = context.channel(),
-            shouldKeepAlive = { complete.keepAlive && !handler.isClosing },
-            onComplete = { finishExchange(context) },
-        )
-        exchange = next
+    /** Passes the current request to the handler once all that has arrived behind it is decoded. */
+    private fun deliver(context: ChannelHandlerContext) {
+        val next = exchange?.takeUnless { isDelivered } ?: return
+        isDelivered = true
         runCatching { handler.handle(next) }.onFailure { cause ->
             LOGGER.warn("The handler of a request failed; closing the connection.", cause)
             next.notifyClosed()
-            if (next.isStarted) context.close() else fail(context, RequestError.HANDLER_FAILED)
+            if (next.isStarted) {
+                closer.close(context.channel(), ConnectionEndCause.ERROR)
+            } else {
+                exchange = null
+                fail(context, RequestError.HANDLER_FAILED)
+            }
         }
     }
 
     private fun finishExchange(context: ChannelHandlerContext) {
         exchange = null
         aggregator?.reset()
+        if (closer.isClosing) return
         timer.start(context = context, millis = limits.idleMillis)
         pipelined.drain(channel = context.channel()) { message ->
             process(context = context, message = message)
             exchange == null
         }
+        deliver(context)
     }
 
     private fun fail(context: ChannelHandlerContext, error: RequestError) {
-        failed = true
         timer.stop()
         aggregator?.reset()
-        val response = ServerExchange.message(response = handler.errorResponse(error), keepAlive = false)
-        context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE)
-    }
-
-    private fun handleTimeout(context: ChannelHandlerContext) {
-        val hasStarted = aggregator?.hasStarted ?: false
-        when {
-            exchange != null -> Unit
-            hasStarted -> fail(context = context, error = RequestError.INCOMPLETE)
-            else -> context.close()
-        }
+        closer.refuse(channel = context.channel(), response = handler.errorResponse(error))
     }
 }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -2,7 +2,6 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
-import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -18,28 +17,35 @@
 
 /**
  * An exchange on a Netty connection; [onComplete] runs on the connection's thread after a complete response.
- * [shouldKeepAlive] is evaluated when the response starts.
+ * [shouldKeepAlive] is evaluated there when the response starts.
  */
 internal class ServerExchange(
     override val request: HttpMessageRequest,
     private val channel: Channel,
     private val shouldKeepAlive: () -> Boolean,
+    private val closer: ConnectionCloser,
     private val onComplete: () -> Unit,
 ) : HttpExchange, ResponseStream {
     private val closedListeners = CopyOnWriteArrayList<() -> Unit>()
     private val writableListeners = CopyOnWriteArrayList<() -> Unit>()
     private val responded = AtomicBoolean(false)
-    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) { shouldKeepAlive() }
+    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) {
+        shouldKeepAlive().also { if (!it) closer.closing(ConnectionEndCause.ANNOUNCED) }
+    }
 
     /** Whether the response has started. */
     val isStarted: Boolean get() = responded.get()
 
+    /** Whether the response was written to the network completely. */
+    var isAnswered = false
+        private set
+
     override val isWritable: Boolean get() = channel.isWritable
     override val pendingBytes: Long get() = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
 
     override fun respond(response: HttpMessageResponse) {
         if (!responded.compareAndSet(false, true)) return
-        finish(message(response = response, keepAlive = keepAlive))
+        channel.runOnLoop { finish(message(response = response, keepAlive = keepAlive)) }
     }
 
     override fun stream(status: Int, contentType: String?, headers: HttpHeaderList): ResponseStream {
@@ -47,8 +53,10 @@
         val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         fillHeaders(response = message, contentType = contentType, headers = headers)
         HttpUtil.setTransferEncodingChunked(message, true)
-        HttpUtil.setKeepAlive(message, keepAlive)
-        channel.writeAndFlush(message)
+        channel.runOnLoop {
+            HttpUtil.setKeepAlive(message, keepAlive)
+            channel.writeAndFlush(message)
+        }
         return this
     }
 
@@ -64,9 +72,10 @@
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
     }
 
-    override fun end() = finish(DefaultLastHttpContent())
+    override fun end() = channel.runOnLoop { finish(DefaultLastHttpContent()) }
 
     override fun abort() {
+        closer.closing(ConnectionEndCause.ABORTED)
         channel.close()
     }
 
@@ -76,7 +85,8 @@
 
     private fun finish(message: Any) {
         val written = channel.writeAndFlush(message)
-        if (!keepAlive) written.addListener(ChannelFutureListener.CLOSE)
+        written.addListener { isAnswered = it.isSuccess }
+        if (!keepAlive) written.addListener { LingeringClose.start(channel) }
         written.addListener { channel.eventLoop().execute(onComplete) }
     }
 
@@ -100,3 +110,7 @@
         }
     }
 }
+
+private fun Channel.runOnLoop(action: () -> Unit) {
+    if (eventLoop().inEventLoop()) action() else eventLoop().execute(action)
+}
