--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/DrainState.kt
@@ -4,38 +4,54 @@
 internal class DrainState(
     private val graceMillis: () -> Long,
 ) {
-    private var startedAtMillis: Long? = null
+    private var current: Drain? = null
 
-    /** Records the start of the shutdown; later calls have no effect. */
+    /** Records the start of the shutdown with the grace period in force; later calls have no effect. */
     fun start(nowMillis: Long) {
-        if (startedAtMillis == null) startedAtMillis = nowMillis
+        if (current == null) current = Drain(startedAtMillis = nowMillis, graceMillis = graceMillis())
     }
 
     /** Whether new requests are rejected because they could not complete before the process exits. */
     fun rejectsNewRequests(nowMillis: Long): Boolean =
-        startedAtMillis.let { it != null && nowMillis - it >= acceptMillis }
+        current?.let { nowMillis >= it.atPercent(ACCEPT_PERCENT) } ?: false
+
+    /**
+     * Whether a request that arrives now may be passed on because it is expected to complete before the process exits.
+     * A later one must be certain to.
+     */
+    fun trustsEstimates(nowMillis: Long): Boolean =
+        current?.let { nowMillis < it.atPercent(ESTIMATE_PERCENT) } ?: true
 
     /** Whether callers have had time to discover other daemons, so that an idle process may exit. */
-    fun mayExit(nowMillis: Long): Boolean = startedAtMillis.let { it != null && nowMillis - it >= acceptMillis }
+    fun mayExit(nowMillis: Long): Boolean = rejectsNewRequests(nowMillis)
 
     /** Whether a response that is complete at [endAtMillis] is complete before the process exits. */
     fun leavesTimeUntil(endAtMillis: Long): Boolean =
-        startedAtMillis.let { it == null || endAtMillis <= it + graceMillis() - MARGIN_MILLIS - FINAL_RESPONSE_MILLIS }
+        current?.let { endAtMillis <= it.exitAtMillis - FINAL_RESPONSE_MILLIS } ?: true
 
     /** Whether all requests in flight have to get their final response now. */
     fun mustRespond(nowMillis: Long): Boolean = !leavesTimeUntil(nowMillis)
 
     /** Whether the process has to exit even with requests in flight. */
-    fun mustExit(nowMillis: Long): Boolean =
-        startedAtMillis.let { it != null && nowMillis - it >= graceMillis() - MARGIN_MILLIS }
+    fun mustExit(nowMillis: Long): Boolean = current?.let { nowMillis >= it.exitAtMillis } ?: false
+
+    private class Drain(
+        private val startedAtMillis: Long,
+        private val graceMillis: Long,
+    ) {
+        val exitAtMillis: Long get() = startedAtMillis + graceMillis - MARGIN_MILLIS
 
-    private val acceptMillis: Long get() = graceMillis() * ACCEPT_PERCENT / PERCENT
+        fun atPercent(percent: Int): Long = startedAtMillis + graceMillis * percent / PERCENT
+    }
 }
 
 /** By then callers have fetched a directory response that no longer lists this daemon. */
 private const val ACCEPT_PERCENT = 45
 private const val PERCENT = 100
 
+/** Until then a caller may not have learned of the shutdown. */
+private const val ESTIMATE_PERCENT = 35
+
 /** The part of the grace period that the process needs to exit. */
 private const val MARGIN_MILLIS = 300L
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/exchange/DrainStateTest.kt
@@ -13,6 +13,7 @@
         testSubject.rejectsNewRequests(nowMillis = 100_000) shouldBe false
         testSubject.mayExit(nowMillis = 100_000) shouldBe false
         testSubject.mustExit(nowMillis = 100_000) shouldBe false
+        testSubject.trustsEstimates(nowMillis = 100_000) shouldBe true
     }
 
     @Test
@@ -21,6 +22,8 @@
 
         testSubject.start(nowMillis = 1_000)
 
+        testSubject.trustsEstimates(nowMillis = 3_700) shouldBe true
+        testSubject.trustsEstimates(nowMillis = 3_900) shouldBe false
         testSubject.rejectsNewRequests(nowMillis = 4_500) shouldBe false
         testSubject.mayExit(nowMillis = 4_500) shouldBe false
         testSubject.rejectsNewRequests(nowMillis = 4_700) shouldBe true
@@ -51,4 +54,18 @@
         testSubject.mustRespond(nowMillis = 7_600) shouldBe true
         testSubject.mustExit(nowMillis = 7_600) shouldBe false
     }
+
+    // Guards against an exit in the middle of a shutdown because the settings file changed meanwhile.
+    @Test
+    fun `a changed grace period doesn't move the exit of a shutdown that has started`() {
+        var graceMillis = 8_000L
+        val testSubject = DrainState(graceMillis = { graceMillis })
+        testSubject.start(nowMillis = 0)
+
+        graceMillis = 1_000
+
+        testSubject.mustExit(nowMillis = 2_000) shouldBe false
+        testSubject.mustRespond(nowMillis = 2_000) shouldBe false
+        testSubject.mustExit(nowMillis = 7_800) shouldBe true
+    }
 }
