Answer requests whose response or reading fails unexpectedly

What callers saw: a response with a header that Netty rejects never arrived, and its connection hung until the caller left; an unexpected error while a request was read, such as no direct memory, closed the connection without a response.

Cause: the response counted as started before its message was built, so that nothing could replace it; exceptionCaught closed the connection, with a line at debug level only.

Evidence, before the change: UnusualRequestTest on, 'a response with a malformed header is replaced by an error': "java.net.SocketTimeoutException: Read timed out" should start with "HTTP/1.1 500".

A response that can't be built is replaced by the handler's error response, a stream counts as started once its head is built, and a write that fails closes the connection. A request that can't be read gets an error response (503 when memory is short), unless another request is being answered on its connection: that response is completed, then the connection ends. Both are logged as warnings.

Run: UnusualRequestTest (4), PipelinedRequestsTest (6), ConnectionCloserTest (4), LingeringCloseTest (4), ServerConnectionTest (2).

--- a/http/src/main/kotlin/org/bulrushtack/http/ConnectionEndCause.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ConnectionEndCause.kt
@@ -1,5 +1,7 @@
 package org.bulrushtack.http
 
+import java.io.IOException
+
 /** Why a connection of the server ended. */
 public enum class ConnectionEndCause {
     /** After a response that announced the close. */
@@ -22,4 +24,11 @@
 
     /** The process exits. */
     EXIT,
+
+    ;
+
+    internal companion object {
+        /** The cause of an end after [failure]: sockets that the client closed fail with an input or output error. */
+        fun of(failure: Throwable): ConnectionEndCause = if (failure is IOException) PEER else ERROR
+    }
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -40,6 +40,7 @@
             field = value
         }
     private var isDelivered = true
+    private val mayKeepAlive: Boolean get() = !closer.isClosing && (!handler.isClosing || !pipelined.isEmpty)
 
     override fun channelActive(context: ChannelHandlerContext) {
         aggregator = RequestAggregator(limits = limits, allocator = context.alloc())
@@ -77,9 +78,16 @@
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        LOGGER.debug("A connection failed.", cause)
-        closer.closing(if (cause is IOException) ConnectionEndCause.PEER else ConnectionEndCause.ERROR)
-        context.close()
+        if (cause is IOException) {
+            LOGGER.debug("A connection failed.", cause)
+            closer.closing(ConnectionEndCause.PEER)
+            context.close()
+        } else {
+            LOGGER.warn("A request could not be read; closing the connection.", cause)
+            val error = if (cause is OutOfMemoryError) RequestError.NO_MEMORY else RequestError.HANDLER_FAILED
+            val mayRespond = exchange == null && !closer.isClosing
+            if (mayRespond) fail(context, error) else closer.closing(ConnectionEndCause.ERROR)
+        }
     }
 
     private fun process(context: ChannelHandlerContext, message: HttpObject) {
@@ -94,8 +102,9 @@
                 exchange = ServerExchange(
                     request = progress.request,
                     channel = context.channel(),
-                    shouldKeepAlive = { progress.keepAlive && (!handler.isClosing || !pipelined.isEmpty) },
+                    shouldKeepAlive = { progress.keepAlive && mayKeepAlive },
                     closer = closer,
+                    errorResponse = { handler.errorResponse(RequestError.HANDLER_FAILED) },
                     onComplete = { finishExchange(context) },
                 )
             }
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -12,18 +12,21 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.internal.logging.InternalLoggerFactory
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
  * An exchange on a Netty connection; [onComplete] runs on the connection's thread after a complete response.
- * [shouldKeepAlive] is evaluated there when the response starts.
+ * [shouldKeepAlive] is evaluated there when the response starts. [errorResponse] replaces a response that can't be
+ * sent.
  */
 internal class ServerExchange(
     override val request: HttpMessageRequest,
     private val channel: Channel,
     private val shouldKeepAlive: () -> Boolean,
     private val closer: ConnectionCloser,
+    private val errorResponse: () -> HttpMessageResponse,
     private val onComplete: () -> Unit,
 ) : HttpExchange, ResponseStream {
     private val closedListeners = CopyOnWriteArrayList<() -> Unit>()
@@ -45,14 +48,20 @@
 
     override fun respond(response: HttpMessageResponse) {
         if (!responded.compareAndSet(false, true)) return
-        channel.runOnLoop { finish(message(response = response, keepAlive = keepAlive)) }
+        channel.runOnLoop {
+            val message = runCatching { message(response = response, keepAlive = keepAlive) }.getOrElse { cause ->
+                LOGGER.warn("A response can't be sent.", cause)
+                message(response = errorResponse(), keepAlive = keepAlive)
+            }
+            finish(message)
+        }
     }
 
     override fun stream(status: Int, contentType: String?, headers: HttpHeaderList): ResponseStream {
-        responded.set(true)
         val message = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         fillHeaders(response = message, contentType = contentType, headers = headers)
         HttpUtil.setTransferEncodingChunked(message, true)
+        responded.set(true)
         channel.runOnLoop {
             HttpUtil.setKeepAlive(message, keepAlive)
             channel.writeAndFlush(message)
@@ -84,10 +93,12 @@
     fun notifyWritable() = writableListeners.forEach { it() }
 
     private fun finish(message: Any) {
-        val written = channel.writeAndFlush(message)
-        written.addListener { isAnswered = it.isSuccess }
-        if (!keepAlive) written.addListener { LingeringClose.start(channel) }
-        written.addListener { channel.eventLoop().execute(onComplete) }
+        channel.writeAndFlush(message).addListener { written ->
+            isAnswered = written.isSuccess
+            if (!isAnswered) closer.closing(ConnectionEndCause.of(written.cause()))
+            if (!keepAlive || closer.isClosing) LingeringClose.start(channel)
+            channel.eventLoop().execute(onComplete)
+        }
     }
 
     companion object {
@@ -114,3 +125,5 @@
 private fun Channel.runOnLoop(action: () -> Unit) {
     if (eventLoop().inEventLoop()) action() else eventLoop().execute(action)
 }
+
+private val LOGGER = InternalLoggerFactory.getInstance(ServerExchange::class.java)
--- a/http/src/test/kotlin/org/bulrushtack/http/UnusualRequestTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/UnusualRequestTest.kt
@@ -2,7 +2,9 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldEndWith
+import io.kotest.matchers.string.shouldStartWith
 
 /** Requests that proper callers rarely send; each that is read whole is answered. */
 class UnusualRequestTest : AnnotationSpec() {
@@ -60,4 +62,19 @@
             caller.readAll() shouldEndWith "</now-second>"
         }
     }
+
+    // Guards against requests whose response can't be sent, which stayed without any.
+    @Test
+    fun `a response with a malformed header is replaced by an error`() {
+        fixture.caller().use { caller ->
+            caller.send("GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            val headers = HttpHeaderList().with(name = "x-two-lines", value = "a\r\nb")
+            fixture.handler.next().respond(HttpMessageResponse(status = 200, headers = headers))
+
+            val response = caller.readAll()
+
+            response shouldStartWith "HTTP/1.1 500"
+            response shouldContain "HANDLER_FAILED"
+        }
+    }
 }
