Apply new limits to kept connections

What callers saw: after a new configuration, a kept connection went on with the limits of the time when it was opened: bodies that the configuration allows were refused, and connections closed while it still allowed them to be idle.

Cause: ConnectionInitializer took the limits once for each connection.

Limits are taken when a request starts, and a timeout that runs out is prolonged if its limit has grown; a shorter one counts from the next start, so that no caller is cut short of a time that it may rely on. The limit of headers stays that of the time of the connect, since the decoder fixes it.

--- a/http/src/main/kotlin/org/bulrushtack/http/ConnectionTimer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ConnectionTimer.kt
@@ -10,12 +10,21 @@
 ) {
     private var scheduled: ScheduledFuture<*>? = null
 
-    fun start(context: ChannelHandlerContext, millis: Long) {
+    /** Starts a timeout of [millis], which is prolonged if [millis] has grown when it runs out. */
+    fun start(context: ChannelHandlerContext, millis: () -> Long) {
         stop()
-        scheduled = context.executor().schedule({ onTimeout(context) }, millis, TimeUnit.MILLISECONDS)
+        val startNanos = System.nanoTime()
+        schedule(context, millis()) {
+            val remainingMillis = millis() - TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)
+            if (remainingMillis > 0) schedule(context, remainingMillis) { onTimeout(context) } else onTimeout(context)
+        }
     }
 
     fun stop() {
         scheduled?.cancel(false)
     }
+
+    private fun schedule(context: ChannelHandlerContext, millis: Long, action: () -> Unit) {
+        scheduled = context.executor().schedule(action, millis, TimeUnit.MILLISECONDS)
+    }
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -46,7 +46,10 @@
     }
 
     public companion object {
-        /** Listens on [host] and [port] (0 for any free port); [limits] is evaluated for each new connection. */
+        /**
+         * Listens on [host] and [port] (0 for any free port). [limits] is evaluated for each request, and the limit of
+         * headers for each connection. A longer timeout counts at once, a shorter one from the next request on.
+         */
         public fun start(
             group: EventLoopGroup,
             host: String,
@@ -80,10 +83,10 @@
         override fun initChannel(channel: Channel) {
             connections.add(channel)
             channel.closeFuture().addListener { connections.remove(channel) }
-            val limits = limits()
+            val headerBytes = limits().headerBytes
             val decoder = HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.headerBytes)
-                .setMaxHeaderSize(limits.headerBytes)
+                .setMaxInitialLineLength(headerBytes)
+                .setMaxHeaderSize(headerBytes)
             channel.pipeline()
                 .addLast(HttpServerCodec(decoder))
                 .addLast(ServerConnection(limits, handler, activeExchanges))
--- a/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
@@ -1,8 +1,8 @@
 package org.bulrushtack.http
 
-import io.netty.buffer.ByteBufAllocator
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
@@ -14,11 +14,14 @@
 import io.netty.handler.codec.http.TooLongHttpLineException
 import io.netty.util.internal.logging.InternalLoggerFactory
 
-/** Aggregates the parts of one request, within limits. The memory for a body is reserved until [reset]. */
+/**
+ * Aggregates the parts of one request, within the limits of the time when it starts. The memory for a body is reserved
+ * until [reset].
+ */
 internal class RequestAggregator(
-    private val limits: HttpLimits,
-    private val allocator: ByteBufAllocator,
+    private val currentLimits: () -> HttpLimits,
 ) {
+    private var limits = HttpLimits()
     private var head: HttpRequest? = null
     private var body: CompositeByteBuf? = null
     private var reservedBytes = 0
@@ -58,8 +61,9 @@
     }
 
     private fun start(request: HttpRequest): RequestError? {
+        limits = currentLimits()
         head = request
-        body = allocator.compositeBuffer(MAXIMUM_PARTS)
+        body = Unpooled.compositeBuffer(MAXIMUM_PARTS)
         return RequestError.BODY_TOO_LARGE.takeIf { HttpUtil.getContentLength(request, 0L) > limits.bodyBytes }
     }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -18,7 +18,7 @@
  * those of all connections whose response has not been written completely.
  */
 internal class ServerConnection(
-    private val limits: HttpLimits,
+    private val limits: () -> HttpLimits,
     private val handler: HttpHandler,
     private val activeExchanges: AtomicInteger,
 ) : SimpleChannelInboundHandler<HttpObject>() {
@@ -27,12 +27,12 @@
     private val timer = ConnectionTimer { context ->
         when {
             exchange != null || closer.isClosing -> Unit
-            aggregator?.hasStarted == true -> fail(context = context, error = RequestError.INCOMPLETE)
+            aggregator.hasStarted -> fail(context = context, error = RequestError.INCOMPLETE)
             else -> closer.close(context.channel(), ConnectionEndCause.TIMEOUT)
         }
     }
     private val pipelined = PipelinedMessages()
-    private var aggregator: RequestAggregator? = null
+    private val aggregator = RequestAggregator(limits)
     private var exchange: ServerExchange? = null
         set(value) {
             if (field == null && value != null) activeExchanges.incrementAndGet()
@@ -43,8 +43,7 @@
     private val mayKeepAlive: Boolean get() = !closer.isClosing && (!handler.isClosing || !pipelined.isEmpty)
 
     override fun channelActive(context: ChannelHandlerContext) {
-        aggregator = RequestAggregator(limits = limits, allocator = context.alloc())
-        timer.start(context = context, millis = limits.requestMillis)
+        timer.start(context = context, millis = { limits().requestMillis })
         super.channelActive(context)
     }
 
@@ -70,7 +69,7 @@
         timer.stop()
         closer.ended(context = context, exchange = exchange, pipelined = pipelined)
         pipelined.clear()
-        aggregator?.reset()
+        aggregator.reset()
         exchange?.notifyClosed()
         exchange = null
         super.channelInactive(context)
@@ -91,9 +90,9 @@
     }
 
     private fun process(context: ChannelHandlerContext, message: HttpObject) {
-        val active = aggregator?.takeUnless { closer.isClosing } ?: return
-        if (message is HttpRequest) timer.start(context = context, millis = limits.requestMillis)
-        when (val progress = active.offer(message)) {
+        if (closer.isClosing) return
+        if (message is HttpRequest) timer.start(context = context, millis = { limits().requestMillis })
+        when (val progress = aggregator.offer(message)) {
             is RequestAggregator.Progress.Incomplete -> if (message is HttpRequest) continueIfExpected(context, message)
             is RequestAggregator.Progress.Invalid -> fail(context = context, error = progress.error)
             is RequestAggregator.Progress.Complete -> {
@@ -129,9 +128,9 @@
 
     private fun finishExchange(context: ChannelHandlerContext) {
         exchange = null
-        aggregator?.reset()
+        aggregator.reset()
         if (closer.isClosing) return
-        timer.start(context = context, millis = limits.idleMillis)
+        timer.start(context = context, millis = { limits().idleMillis })
         pipelined.drain(channel = context.channel()) { message ->
             process(context = context, message = message)
             exchange == null
@@ -141,7 +140,7 @@
 
     private fun fail(context: ChannelHandlerContext, error: RequestError) {
         timer.stop()
-        aggregator?.reset()
+        aggregator.reset()
         closer.refuse(channel = context.channel(), response = handler.errorResponse(error))
     }
 }
--- a/http/src/test/kotlin/org/bulrushtack/http/ServerFixture.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ServerFixture.kt
@@ -8,19 +8,23 @@
 
     @Volatile
     var limits = HttpLimits()
+
+    /** How the server gets its limits. */
+    @Volatile
+    var readLimits = { limits }
     val handler = FakeHandler()
     val server = HttpServer.start(
         group = group,
         host = "127.0.0.1",
         port = 0,
-        limits = { limits },
+        limits = { readLimits() },
         handler = handler,
     )
 
     /** Connects a caller. */
     fun caller() = RawCaller(server.port)
 
-    /** Waits until the server's one thread has read what was sent before, by two rounds of its loop. */
+    /** Waits until the server's one thread has handled what was sent and written before, by two rounds of its loop. */
     fun awaitRead() = repeat(2) {
         caller().use {
             it.get("/now-other")
