--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -1,9 +1,14 @@
 package org.bulrushtack.http
 
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.internal.logging.InternalLoggerFactory
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicInteger
@@ -13,7 +18,7 @@
  * those of all connections whose response has not been written completely.
  */
 internal class ServerConnection(
-    private val limits: HttpLimits,
+    private val limits: () -> HttpLimits,
     private val handler: HttpHandler,
     private val activeExchanges: AtomicInteger,
 ) : SimpleChannelInboundHandler<HttpObject>() {
@@ -22,12 +27,12 @@
     private val timer = ConnectionTimer { context ->
         when {
             exchange != null || closer.isClosing -> Unit
-            aggregator?.hasStarted == true -> fail(context = context, error = RequestError.INCOMPLETE)
+            aggregator.hasStarted -> fail(context = context, error = RequestError.INCOMPLETE)
             else -> closer.close(context.channel(), ConnectionEndCause.TIMEOUT)
         }
     }
     private val pipelined = PipelinedMessages()
-    private var aggregator: RequestAggregator? = null
+    private val aggregator = RequestAggregator(limits)
     private var exchange: ServerExchange? = null
         set(value) {
             if (field == null && value != null) activeExchanges.incrementAndGet()
@@ -35,10 +40,10 @@
             field = value
         }
     private var isDelivered = true
+    private val mayKeepAlive: Boolean get() = !closer.isClosing && (!handler.isClosing || !pipelined.isEmpty)
 
     override fun channelActive(context: ChannelHandlerContext) {
-        aggregator = RequestAggregator(limits = limits, allocator = context.alloc())
-        timer.start(context = context, millis = limits.requestMillis)
+        timer.start(context = context, millis = { limits().requestMillis })
         super.channelActive(context)
     }
 
@@ -64,7 +69,7 @@
         timer.stop()
         closer.ended(context = context, exchange = exchange, pipelined = pipelined)
         pipelined.clear()
-        aggregator?.reset()
+        aggregator.reset()
         exchange?.notifyClosed()
         exchange = null
         super.channelInactive(context)
@@ -72,16 +77,23 @@
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        LOGGER.debug("A connection failed.", cause)
-        closer.closing(if (cause is IOException) ConnectionEndCause.PEER else ConnectionEndCause.ERROR)
-        context.close()
+        if (cause is IOException) {
+            LOGGER.debug("A connection failed.", cause)
+            closer.closing(ConnectionEndCause.PEER)
+            context.close()
+        } else {
+            LOGGER.warn("A request could not be read; closing the connection.", cause)
+            val error = if (cause is OutOfMemoryError) RequestError.NO_MEMORY else RequestError.HANDLER_FAILED
+            val mayRespond = exchange == null && !closer.isClosing
+            if (mayRespond) fail(context, error) else closer.closing(ConnectionEndCause.ERROR)
+        }
     }
 
     private fun process(context: ChannelHandlerContext, message: HttpObject) {
-        val active = aggregator?.takeUnless { closer.isClosing } ?: return
-        if (message is HttpRequest) timer.start(context = context, millis = limits.requestMillis)
-        when (val progress = active.offer(message)) {
-            is RequestAggregator.Progress.Incomplete -> Unit
+        if (closer.isClosing) return
+        if (message is HttpRequest) timer.start(context = context, millis = { limits().requestMillis })
+        when (val progress = aggregator.offer(message)) {
+            is RequestAggregator.Progress.Incomplete -> if (message is HttpRequest) continueIfExpected(context, message)
             is RequestAggregator.Progress.Invalid -> fail(context = context, error = progress.error)
             is RequestAggregator.Progress.Complete -> {
                 timer.stop()
@@ -89,8 +101,9 @@
                 exchange = ServerExchange(
                     request = progress.request,
                     channel = context.channel(),
-                    shouldKeepAlive = { progress.keepAlive && (!handler.isClosing || !pipelined.isEmpty) },
+                    shouldKeepAlive = { progress.keepAlive && mayKeepAlive },
                     closer = closer,
+                    errorResponse = { handler.errorResponse(RequestError.HANDLER_FAILED) },
                     onComplete = { finishExchange(context) },
                 )
             }
@@ -115,9 +128,9 @@
 
     private fun finishExchange(context: ChannelHandlerContext) {
         exchange = null
-        aggregator?.reset()
+        aggregator.reset()
         if (closer.isClosing) return
-        timer.start(context = context, millis = limits.idleMillis)
+        timer.start(context = context, millis = { limits().idleMillis })
         pipelined.drain(channel = context.channel()) { message ->
             process(context = context, message = message)
             exchange == null
@@ -127,9 +140,15 @@
 
     private fun fail(context: ChannelHandlerContext, error: RequestError) {
         timer.stop()
-        aggregator?.reset()
+        aggregator.reset()
         closer.refuse(channel = context.channel(), response = handler.errorResponse(error))
     }
 }
 
+private fun continueIfExpected(context: ChannelHandlerContext, request: HttpRequest) {
+    if (!HttpUtil.is100ContinueExpected(request)) return
+    val status = HttpResponseStatus.CONTINUE
+    context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER))
+}
+
 private val LOGGER = InternalLoggerFactory.getInstance(ServerConnection::class.java)
