End the callers' connections in order before the process exits

What callers saw: an upload that was under way when a stopping daemon became idle was cut without a response, although the daemon knew that it would refuse the request. A connection with unread input ended with a reset, which takes responses on their way along.

Cause: the exit closed all channels at once and halted. What counts as idle are requests that have arrived completely; and one failing step of the periodic tick, of which the exit was the last, kept the process from exiting at all.

Evidence: ExitTest failed before with "a request whose body is still arriving is refused as not run: <empty string> should start with "HTTP/1.1 503"". In the same run another test of ExitTest failed once with "Failed to bind to address /127.0.0.1:46343 ... Address already in use": ForwardFixture looks up free ports and opens them later.

Run: mvn -o -q -B verify -pl http,forward,platform/standin -am with ExitTest, LateRequestTest, ShutdownTest, DrainStateTest, ForwardThreadTest, ConnectionCloserTest, LingeringCloseTest, PipelinedRequestsTest: passed, formatter and linter included.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -62,7 +62,7 @@
             RequestError.HEADERS_TOO_LARGE -> ErrorKind.HEADERS_TOO_LARGE
             RequestError.BODY_TOO_LARGE -> ErrorKind.BODY_TOO_LARGE
             RequestError.NO_MEMORY -> ErrorKind.OVERLOADED
-            RequestError.INCOMPLETE -> ErrorKind.REQUEST_INCOMPLETE
+            RequestError.INCOMPLETE -> if (isClosing) ErrorKind.DRAINING else ErrorKind.REQUEST_INCOMPLETE
             RequestError.HANDLER_FAILED -> ErrorKind.INTERNAL
         }
         dependencies.metrics.recordProblem(kind)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -29,22 +29,26 @@
     private val log = components.logs.forComponent("life")
     private val terminated = CountDownLatch(1)
     private var peerServer: Server? = null
-    private var frontServer: HttpServer? = null
 
     /** Opens the ports and starts to read the store. */
     fun start() {
         components.registerGauges()
-        frontServer = listen(settings.frontListen, components.front)
-        listen(settings.readinessListen, ImmediateResponseHandler(components.directory::readiness))
-        listen(settings.directoryListen, ImmediateResponseHandler(components.directory::addresses))
         val scrape = { HttpMessageResponse(STATUS_OK, METRICS_CONTENT_TYPE, components.metrics.scrape().toByteArray()) }
-        listen(settings.metricsListen, ImmediateResponseHandler { scrape() })
+        val servers = listOf(
+            listen(settings.frontListen, components.front),
+            listen(settings.readinessListen, ImmediateResponseHandler(components.directory::readiness)),
+            listen(settings.directoryListen, ImmediateResponseHandler(components.directory::addresses)),
+            listen(settings.metricsListen, ImmediateResponseHandler { scrape() }),
+        )
+        val exit = ProcessExit(components.drain, components.front, servers, components.thread, log, ::terminate)
         peerServer = components.coordination.start(components.group, settings.peerListen)
         components.thread.execute {
             addSeeds(settings)
             components.registration.start()
         }
         components.thread.repeat(TICK_INTERVAL_MILLIS) { tick() }
+        components.thread.repeat(TICK_INTERVAL_MILLIS) { if (state.draining) components.front.endUnfinishable() }
+        components.thread.repeat(TICK_INTERVAL_MILLIS) { exit.startWhenDue() }
         components.thread.repeat(STARTUP_SYNC_INTERVAL_MILLIS) { components.syncWhenDue() }
         log.info(
             "The daemon has started.",
@@ -97,15 +101,12 @@
         components.crashReports.tick(isReader)
         state.fleet.removeExpired(nowMillis)
         components.logs.reportSuppressed()
-        if (state.draining) components.front.endUnfinishable()
-        val hasWrittenAll = frontServer?.activeCount == 0
-        val idle = components.front.activeCount == 0 && hasWrittenAll && components.drain.mayExit(nowMillis)
-        if ((idle || components.drain.mustExit(nowMillis)) && terminated.count > 0) {
-            log.info("The daemon has stopped.", LogField("active", components.front.activeCount))
-            peerServer?.shutdown()
-            components.group.shutdownGracefully()
-            terminated.countDown()
-        }
+    }
+
+    private fun terminate() {
+        peerServer?.shutdown()
+        components.group.shutdownGracefully()
+        terminated.countDown()
     }
 
     private fun addSeeds(from: ForwardSettings) = from.seeds.forEach {
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -18,6 +18,7 @@
     private val channel: Channel,
     private val activeExchanges: AtomicInteger,
     private val connections: Set<Channel>,
+    private val handler: HttpHandler,
 ) {
     /** The number of requests whose response has not been written to the network completely. */
     public val activeCount: Int get() = activeExchanges.get()
@@ -33,6 +34,16 @@
         channel.close().awaitUninterruptibly()
     }
 
+    /** Sends an error response to each request that has not arrived completely. Doesn't block. */
+    public fun refuseIncomplete() = connections.forEach { connection ->
+        connection.eventLoop().execute {
+            val serverConnection = connection.pipeline().get(ServerConnection::class.java)
+            if (serverConnection?.isArriving == true) {
+                serverConnection.closer.refuse(connection, handler.errorResponse(RequestError.INCOMPLETE))
+            }
+        }
+    }
+
     /**
      * Stops accepting and ends all connections, so that a process can exit: what was written is sent, then the end of
      * the output. A connection closes when its client closes too, and after [millis] at the latest. Doesn't block.
@@ -70,7 +81,7 @@
                 )
                 .childHandler(ConnectionInitializer(limits, handler, activeExchanges, connections))
             val channel = bootstrap.bind(host, port).syncUninterruptibly().channel()
-            return HttpServer(channel, activeExchanges, connections)
+            return HttpServer(channel, activeExchanges, connections, handler)
         }
     }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -24,6 +24,9 @@
 ) : SimpleChannelInboundHandler<HttpObject>() {
     /** Closes the connection. */
     val closer = ConnectionCloser(handler.observer)
+
+    /** Whether a request has started and has not arrived completely, so that it may be refused. */
+    val isArriving: Boolean get() = exchange == null && !closer.isClosing && aggregator?.hasStarted == true
     private val timer = ConnectionTimer { context ->
         when {
             exchange != null || closer.isClosing -> Unit
