--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -18,6 +18,7 @@
     private val channel: Channel,
     private val activeExchanges: AtomicInteger,
     private val connections: Set<Channel>,
+    private val handler: HttpHandler,
 ) {
     /** The number of requests whose response has not been written to the network completely. */
     public val activeCount: Int get() = activeExchanges.get()
@@ -33,6 +34,16 @@
         channel.close().awaitUninterruptibly()
     }
 
+    /** Sends an error response to each request that has not arrived completely. Doesn't block. */
+    public fun refuseIncomplete() = connections.forEach { connection ->
+        connection.eventLoop().execute {
+            val serverConnection = connection.pipeline().get(ServerConnection::class.java)
+            if (serverConnection?.isArriving == true) {
+                serverConnection.closer.refuse(connection, handler.errorResponse(RequestError.INCOMPLETE))
+            }
+        }
+    }
+
     /**
      * Stops accepting and ends all connections, so that a process can exit: what was written is sent, then the end of
      * the output. A connection closes when its client closes too, and after [millis] at the latest. Doesn't block.
@@ -46,7 +57,10 @@
     }
 
     public companion object {
-        /** Listens on [host] and [port] (0 for any free port); [limits] is evaluated for each new connection. */
+        /**
+         * Listens on [host] and [port] (0 for any free port). [limits] is evaluated for each request, and the limit of
+         * headers for each connection. A longer timeout counts at once, a shorter one from the next request on.
+         */
         public fun start(
             group: EventLoopGroup,
             host: String,
@@ -67,7 +81,7 @@
                 )
                 .childHandler(ConnectionInitializer(limits, handler, activeExchanges, connections))
             val channel = bootstrap.bind(host, port).syncUninterruptibly().channel()
-            return HttpServer(channel, activeExchanges, connections)
+            return HttpServer(channel, activeExchanges, connections, handler)
         }
     }
 
@@ -80,10 +94,10 @@
         override fun initChannel(channel: Channel) {
             connections.add(channel)
             channel.closeFuture().addListener { connections.remove(channel) }
-            val limits = limits()
+            val headerBytes = limits().headerBytes
             val decoder = HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.headerBytes)
-                .setMaxHeaderSize(limits.headerBytes)
+                .setMaxInitialLineLength(headerBytes)
+                .setMaxHeaderSize(headerBytes)
             channel.pipeline()
                 .addLast(HttpServerCodec(decoder))
                 .addLast(ServerConnection(limits, handler, activeExchanges))
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -18,21 +18,24 @@
  * those of all connections whose response has not been written completely.
  */
 internal class ServerConnection(
-    private val limits: HttpLimits,
+    private val limits: () -> HttpLimits,
     private val handler: HttpHandler,
     private val activeExchanges: AtomicInteger,
 ) : SimpleChannelInboundHandler<HttpObject>() {
     /** Closes the connection. */
     val closer = ConnectionCloser(handler.observer)
+
+    /** Whether a request has started and has not arrived completely, so that it may be refused. */
+    val isArriving: Boolean get() = exchange == null && !closer.isClosing && aggregator?.hasStarted == true
     private val timer = ConnectionTimer { context ->
         when {
             exchange != null || closer.isClosing -> Unit
-            aggregator?.hasStarted == true -> fail(context = context, error = RequestError.INCOMPLETE)
+            aggregator.hasStarted -> fail(context = context, error = RequestError.INCOMPLETE)
             else -> closer.close(context.channel(), ConnectionEndCause.TIMEOUT)
         }
     }
     private val pipelined = PipelinedMessages()
-    private var aggregator: RequestAggregator? = null
+    private val aggregator = RequestAggregator(limits)
     private var exchange: ServerExchange? = null
         set(value) {
             if (field == null && value != null) activeExchanges.incrementAndGet()
@@ -40,10 +43,10 @@
             field = value
         }
     private var isDelivered = true
+    private val mayKeepAlive: Boolean get() = !closer.isClosing && (!handler.isClosing || !pipelined.isEmpty)
 
     override fun channelActive(context: ChannelHandlerContext) {
-        aggregator = RequestAggregator(limits = limits, allocator = context.alloc())
-        timer.start(context = context, millis = limits.requestMillis)
+        timer.start(context = context, millis = { limits().requestMillis })
         super.channelActive(context)
     }
 
@@ -69,7 +72,7 @@
         timer.stop()
         closer.ended(context = context, exchange = exchange, pipelined = pipelined)
         pipelined.clear()
-        aggregator?.reset()
+        aggregator.reset()
         exchange?.notifyClosed()
         exchange = null
         super.channelInactive(context)
@@ -77,15 +80,22 @@
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        LOGGER.debug("A connection failed.", cause)
-        closer.closing(if (cause is IOException) ConnectionEndCause.PEER else ConnectionEndCause.ERROR)
-        context.close()
+        if (cause is IOException) {
+            LOGGER.debug("A connection failed.", cause)
+            closer.closing(ConnectionEndCause.PEER)
+            context.close()
+        } else {
+            LOGGER.warn("A request could not be read; closing the connection.", cause)
+            val error = if (cause is OutOfMemoryError) RequestError.NO_MEMORY else RequestError.HANDLER_FAILED
+            val mayRespond = exchange == null && !closer.isClosing
+            if (mayRespond) fail(context, error) else closer.closing(ConnectionEndCause.ERROR)
+        }
     }
 
     private fun process(context: ChannelHandlerContext, message: HttpObject) {
-        val active = aggregator?.takeUnless { closer.isClosing } ?: return
-        if (message is HttpRequest) timer.start(context = context, millis = limits.requestMillis)
-        when (val progress = active.offer(message)) {
+        if (closer.isClosing) return
+        if (message is HttpRequest) timer.start(context = context, millis = { limits().requestMillis })
+        when (val progress = aggregator.offer(message)) {
             is RequestAggregator.Progress.Incomplete -> if (message is HttpRequest) continueIfExpected(context, message)
             is RequestAggregator.Progress.Invalid -> fail(context = context, error = progress.error)
             is RequestAggregator.Progress.Complete -> {
@@ -94,8 +104,9 @@
                 exchange = ServerExchange(
                     request = progress.request,
                     channel = context.channel(),
-                    shouldKeepAlive = { progress.keepAlive && (!handler.isClosing || !pipelined.isEmpty) },
+                    shouldKeepAlive = { progress.keepAlive && mayKeepAlive },
                     closer = closer,
+                    errorResponse = { handler.errorResponse(RequestError.HANDLER_FAILED) },
                     onComplete = { finishExchange(context) },
                 )
             }
@@ -120,9 +131,9 @@
 
     private fun finishExchange(context: ChannelHandlerContext) {
         exchange = null
-        aggregator?.reset()
+        aggregator.reset()
         if (closer.isClosing) return
-        timer.start(context = context, millis = limits.idleMillis)
+        timer.start(context = context, millis = { limits().idleMillis })
         pipelined.drain(channel = context.channel()) { message ->
             process(context = context, message = message)
             exchange == null
@@ -132,7 +143,7 @@
 
     private fun fail(context: ChannelHandlerContext, error: RequestError) {
         timer.stop()
-        aggregator?.reset()
+        aggregator.reset()
         closer.refuse(channel = context.channel(), response = handler.errorResponse(error))
     }
 }
