Make the tests of copied responses independent of the machine's load

Their server sends the copy on its own after the response. When its thread is held up in between, the copy arrives while the next request already waits, and then nobody can tell it from a response. What they guard against is a copy that arrives before.

The server of the first test now reports that the client has closed the connection, and the next request waits for that, no longer for a time; it fails if the client keeps the connection. The server of the second sends the head of the copy together with the response. The number of calls, and what is asked of each, is the same.

--- a/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/MalformedServerTest.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 
 /** Sends requests to servers whose bytes are no response, or belong to no request. */
@@ -69,20 +70,18 @@
     fun `a second copy of a response never reaches the next request on a reused connection`() {
         val copies = listOf(0L, 50L)
         copies.forEach { delayMillis ->
+            val closed = Semaphore(0)
             val server = RawServer { socket ->
-                var number = 0
-                while (RawServer.readRequest(socket)) {
-                    number += 1
-                    val copy = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nanswer-$number"
-                    RawServer.send(socket, copy)
-                    Thread.sleep(delayMillis)
-                    RawServer.send(socket, copy)
-                }
+                RawServer.readRequest(socket)
+                RawServer.send(socket, ANSWER)
+                Thread.sleep(delayMillis)
+                RawServer.send(socket, ANSWER)
+                if (!RawServer.readRequest(socket)) closed.release()
             }
             server.use {
                 repeat(CALLS) {
-                    exchange(server).getOrNull()?.text() shouldBe "answer-1"
-                    Thread.sleep(delayMillis * 2 + PAUSE_MILLIS)
+                    exchange(server).getOrNull()?.text() shouldBe "answer"
+                    closed.tryAcquire(LIMIT_SECONDS, TimeUnit.SECONDS) shouldBe true
                 }
                 server.accepted.get() shouldBe CALLS
             }
@@ -93,8 +92,8 @@
     fun `a copy of a response in pieces doesn't reach the next request as a response without a head`() {
         val server = RawServer { socket ->
             while (RawServer.readRequest(socket)) {
-                RawServer.send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nreal")
-                RawServer.send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n")
+                val head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+                RawServer.send(socket, "${head}real$head")
                 Thread.sleep(PAUSE_MILLIS)
                 RawServer.send(socket, "copy")
             }
@@ -197,6 +196,7 @@
         const val LARGE_BODY_BYTES = 16_000_000
         const val LIMIT_SECONDS = 10L
         const val CALLS = 3
+        const val ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer"
         const val PAUSE_MILLIS = 20L
     }
 }
