Report a connection that can't be created on the network thread

With all descriptors in use (a daemon process with 3,900, 3,700 kept connections of callers) 40 sends ended with "Unable to create Channel", each a 503, not run.

Cause: a channel that can't be created at all fails on a thread of Netty's own, and the daemon's state, which has no locks, was changed on it beside the network thread. HttpClient now passes this failure to the network thread.

Evidence: the new test failed on the code before: "expected:<true> but was:<false>" (on the network thread). Run: HttpClientTest, ClientExchangeTest, MalformedServerTest with formatter and linter of http: passed.

--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -6,6 +6,7 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFactory
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -22,6 +23,7 @@
 public class HttpClient(
     private val group: EventLoopGroup,
     private val connectTimeoutMillis: Int = DEFAULT_CONNECT_TIMEOUT_MILLIS,
+    private val channelFactory: ChannelFactory<out Channel> = ChannelFactory { NioSocketChannel() },
 ) {
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
 
@@ -35,7 +37,7 @@
             address == null -> group.next().execute { call.abort("the address '${request.address}' is malformed") }
             else -> connect(address, request.dedicatedConnection).addListener { future ->
                 val channel = (future as ChannelFuture).channel()
-                if (future.isSuccess) call.start(channel) else call.abort(future.cause().toString())
+                if (future.isSuccess) call.start(channel) else abort(call, future.cause())
             }
         }
         request.timeoutMillis?.let { millis ->
@@ -51,9 +53,13 @@
         return collector.result
     }
 
+    /** The failure to create a channel at all, as when no descriptors are left, arrives on a thread of Netty's own. */
+    private fun abort(call: ClientExchange, cause: Throwable) =
+        group.next().execute { call.abort(reason = cause.cause?.toString() ?: cause.toString()) }
+
     private fun connect(address: HostAndPort, isDedicated: Boolean): ChannelFuture = Bootstrap()
         .group(group)
-        .channel(NioSocketChannel::class.java)
+        .channelFactory(channelFactory)
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.RECVBUF_ALLOCATOR, if (isDedicated) FAIR_READS else null)
--- /dev/null
+++ b/http/src/test/kotlin/org/bulrushtack/http/HttpClientTest.kt
@@ -0,0 +1,40 @@
+package org.bulrushtack.http
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import io.netty.channel.ChannelException
+import io.netty.channel.EventLoop
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+class HttpClientTest : AnnotationSpec() {
+    private val group = EventLoops.create(threads = 1)
+
+    @AfterAll
+    fun closeGroup() {
+        group.shutdownGracefully()
+    }
+
+    // Guards against changes of the daemon's state, which has no locks, on a second thread.
+    @Test
+    fun `a connection for which there is no descriptor fails as not sent, on the network thread`() {
+        val loop = group.next() as EventLoop
+        val reported = CompletableFuture<Pair<HttpFailure, Boolean>>()
+        val listener = object : ResponseListener by FakeResponseListener() {
+            override fun onFailure(failure: HttpFailure) {
+                reported.complete(failure to loop.inEventLoop())
+            }
+        }
+        val testSubject = HttpClient(group, channelFactory = { throw ChannelException("too many open files") })
+
+        testSubject.send(ClientRequest(method = "GET", address = "127.0.0.1:1", path = "/"), listener)
+
+        val (failure, isOnLoop) = reported.get(LIMIT_SECONDS, TimeUnit.SECONDS)
+        failure.sent shouldBe false
+        isOnLoop shouldBe true
+    }
+
+    private companion object {
+        const val LIMIT_SECONDS = 10L
+    }
+}
