Share the memory of responses that are held back

What callers saw: 1,850 requests to servers that send 60 kB of 70 kB and fall silent used up the heap of a daemon process under the flags of deploy/system.toml: "java.lang.OutOfMemoryError: Java heap space" in four sends and in the main thread. The process stayed, but stalled: callers of a sound service beside them got 144 responses in 17 s.

Cause: each response may be held back up to 64 kB, so that a failed one can be replaced, whatever the number of requests in flight; up to 1,950 fit into the descriptors.

All responses together now hold back 32 MB: each may hold its share, 64 kB up to 512 requests in flight, then less. A longer one is streamed earlier. The body of a server's error, which is passed on only when it is whole, has the same share; a longer one is answered with 502 as before.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -18,6 +18,7 @@
     private val attemptId: String,
     private val target: SendTarget,
     private val relay: ResponseRelay,
+    private val failureBody: FailureBody,
     private val onFinished: (SendResult) -> Unit,
 ) : ResponseListener {
     private var call: ClientCall? = null
@@ -25,7 +26,6 @@
     private var head: BackendResponseHead? = null
     private var status = 0
     private var headers = HttpHeaderList()
-    private val failureBody = FailureBody()
 
     /** Sends [request]. */
     fun start(client: HttpClient, request: ClientRequest) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BufferedRelay.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BufferedRelay.kt
@@ -6,9 +6,13 @@
 import org.bulrushtack.http.ResponseStream
 import java.io.ByteArrayOutputStream
 
-/** Buffers a short response until it is complete, so that a failed one can be replaced; streams a long one. */
+/**
+ * Buffers a response until it is complete, so that a failed one can be replaced; streams one that is longer than
+ * [maximumBufferedBytes], which may change with the requests in flight.
+ */
 internal class BufferedRelay(
     private val exchange: HttpExchange,
+    private val maximumBufferedBytes: () -> Int,
 ) : ResponseRelay {
     private var status = 0
     private var headers = HttpHeaderList()
@@ -27,7 +31,7 @@
     override fun accept(bytes: ByteArray): RelayState {
         val open = stream
         if (open == null) buffer.writeBytes(bytes) else open.write(bytes)
-        if (open == null && buffer.size() > MAXIMUM_BUFFERED_BYTES) startStreaming()
+        if (open == null && buffer.size() > maximumBufferedBytes()) startStreaming()
         return if (stream?.isWritable ?: true) RelayState.READY else RelayState.BLOCKED
     }
 
@@ -57,6 +61,3 @@
         stream = opened
     }
 }
-
-/** About a hundred times a usual response of a plain service. */
-private const val MAXIMUM_BUFFERED_BYTES = 65_536
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -27,6 +27,7 @@
     val reservationClient: ReservationClient,
     val reservationFreeMillis: () -> Long,
     val maximumResponseBytes: () -> Long,
+    val responseBufferBytes: () -> Int,
     val thread: ForwardThread,
     val random: Random,
     val retryAfterPolicy: RetryAfterPolicy,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -17,7 +17,7 @@
     private val relay: ResponseRelay = if (context.route.streamed) {
         StreamRelay(exchange = exchange, onEvent = ::onEventRelayed, lastEventId = context.caller.lastEventId)
     } else {
-        BufferedRelay(exchange)
+        BufferedRelay(exchange = exchange, maximumBufferedBytes = dependencies.responseBufferBytes)
     }
     private val resendGate = ResendGate(dependencies = dependencies, context = context, relay = relay)
     private val replacement =
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -139,9 +139,14 @@
             urgency = (context.priority * URGENCY_PER_PRIORITY).coerceIn(0, MAXIMUM_URGENCY),
             helpers = attemptReservations.helpers,
         )
-        val backendSend = BackendSend(dependencies.codec, context.requestId, target, relay) {
-            finish(it, attributeToServer = true)
-        }
+        val backendSend = BackendSend(
+            codec = dependencies.codec,
+            attemptId = context.requestId,
+            target = target,
+            relay = relay,
+            failureBody = FailureBody(maximumBytes = dependencies.responseBufferBytes),
+            onFinished = { finish(it, attributeToServer = true) },
+        )
         send = backendSend
         val request = dependencies.codec.backendRequest(context.request, target.address, head)
         backendSend.start(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -21,6 +21,7 @@
 import org.bulrushtack.forward.exchange.ExchangeDependencies
 import org.bulrushtack.forward.exchange.ForwardHandler
 import org.bulrushtack.forward.exchange.HttpReservationClient
+import org.bulrushtack.forward.exchange.ResponseBufferShare
 import org.bulrushtack.forward.exchange.RetryBudgets
 import org.bulrushtack.forward.log.EventLogs
 import org.bulrushtack.forward.peer.CoordinationService
@@ -152,6 +153,7 @@
         reservationClient = HttpReservationClient(codec = platform.exchangeCodec, client = client),
         reservationFreeMillis = { this.settings.current.reservationFreeMillis },
         maximumResponseBytes = { this.settings.current.responseBytes },
+        responseBufferBytes = ::responseBufferBytes,
         thread = thread,
         random = random,
         retryAfterPolicy = retryAfterPolicy,
@@ -161,6 +163,8 @@
     val front = ForwardHandler(dependencies)
     private var syncTicks = 0L
 
+    private fun responseBufferBytes(): Int = ResponseBufferShare.bytes(front.activeCount)
+
     /** Syncs with peers when due; more often during the startup grace period, to learn the placement leader sooner. */
     fun syncWhenDue() {
         syncTicks += 1
