Keep an error in one request from delaying others

What callers could see: at the end of a shutdown an unexpected error in the end of one request kept all others from their final response, at each try; so did one in a placement decision for the decisions of the same review. A request whose send could not be cancelled got no response at its deadline.

Cause: the loops over requests ran as one action, which ends at its first error; the final response came after the cancellation.

Evidence: by reading; no such error was provoked from outside. ForwardThreadTest guards the loop.

Fix: ForwardThread.forEach reports an error for one item and handles the others; a request's final response is sent whatever the cancellation of its send does.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
@@ -30,6 +30,9 @@
         loop.scheduleAtFixedRate({ run(action) }, 0, millis, TimeUnit.MILLISECONDS)
     }
 
+    /** Runs [action] for each of [items] at once; an unexpected error for one doesn't keep the others from it. */
+    fun <T> forEach(items: Iterable<T>, action: (T) -> Unit) = items.forEach { item -> run { action(item) } }
+
     /** Passes the result or the failure of [future] to [action] on the event loop. */
     fun <T> whenDone(future: CompletableFuture<T>, action: (result: T?, failure: Throwable?) -> Unit) {
         future.whenCompleteAsync({ result, failure -> run { action(result, failure) } }, loop)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -49,8 +49,10 @@
     fun endUnfinishable() {
         val nowMillis = dependencies.thread.nowMillis()
         val mustRespond = drain.mustRespond(nowMillis)
-        active.filter { mustRespond || (it.isWaiting && !canFinish(it, nowMillis)) }
-            .forEach { forwarded -> forwarded.end { shutDown(it) } }
+        dependencies.thread.forEach(active.toList()) { forwarded ->
+            val isDue = mustRespond || (forwarded.isWaiting && !canFinish(forwarded, nowMillis))
+            if (isDue) forwarded.end { shutDown(it) }
+        }
     }
 
     private fun canFinish(forwarded: ForwardedExchange, nowMillis: Long): Boolean =
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -42,8 +42,11 @@
     fun end(respond: FinalResponse.(sent: Boolean) -> Unit) {
         if (response.isDone) return
         val sent = sends.mayHaveRun || !isWaiting
-        attempt?.cancel()
-        response.respond(sent)
+        try {
+            attempt?.cancel()
+        } finally {
+            response.respond(sent)
+        }
     }
 
     /** Starts the first attempt. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
@@ -54,7 +54,7 @@
 
     /** Tries again to place the waiting requests. */
     fun review() {
-        scheduler.review(thread.nowMillis()).forEach { listeners.remove(it.id)?.onDecision(it) }
+        thread.forEach(scheduler.review(thread.nowMillis())) { listeners.remove(it.id)?.onDecision(it) }
     }
 
     private fun scheduleReviews() {
--- a/forward/src/test/kotlin/org/bulrushtack/forward/ForwardThreadTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/ForwardThreadTest.kt
@@ -29,6 +29,20 @@
         time.errors.map { it.message } shouldBe listOf("second run")
     }
 
+    // Guards against requests that got no response because the end of another one failed.
+    @Test
+    fun `an unexpected error for one item is reported, and the others are handled`() {
+        val handled = mutableListOf<Int>()
+
+        testSubject.forEach(listOf(1, 2, 3)) {
+            check(it != 2) { "second item" }
+            handled.add(it)
+        }
+
+        handled shouldBe listOf(1, 3)
+        time.errors.map { it.message } shouldBe listOf("second item")
+    }
+
     @Test
     fun `an unexpected error in the callback of a future is reported`() {
         val future = CompletableFuture<String>()
