--- a/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/placement/PlacementBroker.kt
@@ -54,9 +54,7 @@
 
     /** Tries again to place the waiting requests. */
     fun review() {
-        scheduler.review(thread.nowMillis()).forEach { decision ->
-            listeners.remove(decision.id)?.let { listener -> thread.guard { listener.onDecision(decision) } }
-        }
+        thread.forEach(scheduler.review(thread.nowMillis())) { listeners.remove(it.id)?.onDecision(it) }
     }
 
     private fun scheduleReviews() {
