Answer requests whose path or query has a malformed escape sequence

A whole request such as GET /x?a=% got no response: its connection was closed, or, when the request was read behind another one, left open without a word until the idle time was over.

Cause: the query is decoded when the request is complete, and the exception of the decoder ended the reading of the connection. Nothing caught it where requests behind another one are taken up.

Seen before, ServerConnectionTest: /%zz <empty string> should include substring "MALFORMED"

Such a request is a malformed one now and gets its 400.

--- a/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestAggregator.kt
@@ -77,14 +77,24 @@
 
     private fun complete(): Progress {
         val request = head ?: return Progress.Incomplete
+        return try {
+            complete(request, QueryStringDecoder(request.uri()))
+        } catch (_: IllegalArgumentException) {
+            Progress.Invalid(RequestError.MALFORMED)
+        }
+    }
+
+    /** Completes [request]; its path and parameters are decoded here, which fails for a malformed escape sequence. */
+    private fun complete(request: HttpRequest, target: QueryStringDecoder): Progress {
+        val path = target.path()
+        val query = target.parameters().mapValues { (_, values) -> values.first() }
         val bytes = body?.let { ByteBufUtil.getBytes(it) } ?: ByteArray(0)
         releaseParts()
-        val target = QueryStringDecoder(request.uri())
         val headers = request.headers().entries().map { HttpHeaderList.Header(name = it.key, value = it.value) }
         val message = HttpMessageRequest(
             method = request.method().name(),
-            path = target.path(),
-            query = target.parameters().mapValues { (_, values) -> values.first() },
+            path = path,
+            query = query,
             headers = HttpHeaderList(entries = headers),
             body = bytes,
             target = request.uri(),
--- a/http/src/test/kotlin/org/bulrushtack/http/ServerConnectionTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ServerConnectionTest.kt
@@ -1,8 +1,10 @@
 package org.bulrushtack.http
 
 import io.kotest.assertions.nondeterministic.eventually
+import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
 import java.net.Socket
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
@@ -39,6 +41,28 @@
         group.shutdownGracefully()
     }
 
+    // Guards against whole requests whose connection was closed, or left open, with no response.
+    @Test
+    fun `requests with malformed escape sequences are answered, alone or behind another`() {
+        val group = EventLoops.create(threads = 1)
+        val limits = HttpLimits()
+        val server = HttpServer.start(group, "127.0.0.1", port = 0, limits = { limits }, handler = handler)
+        val sound = "GET /works HTTP/1.1\r\nHost: a\r\n\r\n"
+        listOf("/%zz", "/x?a=%", "/x?%f").forEach { target ->
+            listOf("", sound).forEach { first ->
+                Socket("127.0.0.1", server.port).use { caller ->
+                    caller.soTimeout = TIMEOUT_MILLIS
+                    caller.getOutputStream().write("${first}GET $target HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray())
+
+                    val received = caller.getInputStream().readAllBytes().decodeToString()
+
+                    withClue("$first$target") { received shouldContain "MALFORMED" }
+                }
+            }
+        }
+        group.shutdownGracefully()
+    }
+
     // Guards against a process that exits while a finished response is not on the network yet.
     @Test
     suspend fun `a request counts as active until its response is written completely`() {
@@ -59,6 +83,8 @@
     }
 
     private companion object {
+        const val TIMEOUT_MILLIS = 5_000
+
         /** More than the network holds for a caller that doesn't read. */
         const val LARGE_BODY_BYTES = 32_000_000
     }
