Break off a stream at its deadline, not before

Cause: the final response is sent 20 ms before the deadline so that it arrives in time. A response that has started has no other final response; breaking it off early only takes time from it, and events on their way.

Fix: DeadlineTimer ends a request 20 ms before its deadline only while no part of its response has been sent, otherwise at the deadline.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -5,7 +5,6 @@
 import org.bulrushtack.core.exchange.SendOutcome
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpExchange
-import java.util.concurrent.ScheduledFuture
 
 /** One caller's request from its admission to its final response, across all its sends. */
 internal class ForwardedExchange(
@@ -32,7 +31,11 @@
     private var sends = SendCount()
     private var attempt: SendAttempt? = null
     private val excluded = HashSet<String>()
-    private var deadlineTimer: ScheduledFuture<*>? = null
+    private val deadlineTimer = DeadlineTimer(
+        thread = dependencies.thread,
+        hasStarted = { relay.isStarted },
+        onTimeout = { end { timedOut(it) } },
+    )
     private var firstEventRelayed = false
 
     /** Whether the current attempt has not been sent to a backend server yet. */
@@ -53,8 +56,7 @@
     fun start() {
         dependencies.retryBudgets.deposit(context.service)
         exchange.onClosed { callerDisconnected() }
-        val millis = maxOf(0, context.deadlineAtMillis - context.receivedAtMillis - RESPONSE_MARGIN_MILLIS)
-        deadlineTimer = dependencies.thread.schedule(millis) { end { timedOut(it) } }
+        deadlineTimer.start(context.deadlineAtMillis)
         startAttempt()
     }
 
@@ -117,11 +119,8 @@
     }
 
     private fun finished() {
-        deadlineTimer?.cancel(false)
+        deadlineTimer.stop()
         replacement.cancel()
         onFinished(this)
     }
 }
-
-/** The time that the final response needs to reach the caller. */
-private const val RESPONSE_MARGIN_MILLIS = 20L
