Keep a connection usable when a held request can't be read

What callers saw: a request that was held behind another, and whose reading failed unexpectedly when its turn came, got no response; its connection hung.

Cause: held requests are read in a task of the connection's thread, whose exceptions don't reach exceptionCaught. In the same place the number of active requests fell to 0 between two requests of one connection, so that the shutdown of the entry daemon, which asks from another thread, could see an idle server; that was found by reading, and not reproduced.

Evidence, before the change: ConnectionLimitsTest, 'a held request whose reading fails unexpectedly gets an error response': "java.net.SocketTimeoutException: Read timed out" should include substring "HANDLER_FAILED".

The failure is passed to exceptionCaught, a finished request counts as active until the next one is read, and a response after the end of the network threads is logged.

Run: all tests of http (37) and ShutdownTest of platform/standin (9), with formatter and linter of http, forward, platform and platform/standin.

--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -126,15 +126,20 @@
         }
     }
 
+    /** Reads the next request; until that is whole, the finished one counts as active. */
     private fun finishExchange(context: ChannelHandlerContext) {
-        exchange = null
+        val finished = exchange
         aggregator.reset()
-        if (closer.isClosing) return
-        timer.start(context = context, millis = { limits().idleMillis })
-        pipelined.drain(channel = context.channel()) { message ->
-            process(context = context, message = message)
-            exchange == null
+        val reading = runCatching {
+            if (closer.isClosing || !context.channel().isActive) return@runCatching
+            timer.start(context = context, millis = { limits().idleMillis })
+            pipelined.drain(channel = context.channel()) { message ->
+                process(context = context, message = message)
+                exchange === finished
+            }
         }
+        if (exchange === finished) exchange = null
+        reading.onFailure { context.pipeline().fireExceptionCaught(it) }
         deliver(context)
     }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.internal.logging.InternalLoggerFactory
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.RejectedExecutionException
 import java.util.concurrent.atomic.AtomicBoolean
 
 /**
@@ -122,8 +123,10 @@
     }
 }
 
-private fun Channel.runOnLoop(action: () -> Unit) {
+private fun Channel.runOnLoop(action: () -> Unit) = try {
     if (eventLoop().inEventLoop()) action() else eventLoop().execute(action)
+} catch (stopped: RejectedExecutionException) {
+    LOGGER.warn("A response can't be sent, since the network threads have ended.", stopped)
 }
 
 private val LOGGER = InternalLoggerFactory.getInstance(ServerExchange::class.java)
--- a/http/src/test/kotlin/org/bulrushtack/http/ConnectionLimitsTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ConnectionLimitsTest.kt
@@ -81,6 +81,20 @@
         }
     }
 
+    // Guards against the same end of a request that was held behind another.
+    @Test
+    fun `a held request whose reading fails unexpectedly gets an error response`() {
+        fixture.caller().use { caller ->
+            caller.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\nGET /now HTTP/1.1\r\nHost: a\r\n\r\n")
+            val first = fixture.handler.next()
+            fixture.readLimits = { error("unexpected") }
+            fixture.handler.respond(first)
+            caller.readUntil("</first>")
+
+            caller.readAll() shouldContain "HANDLER_FAILED"
+        }
+    }
+
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000
     }
