Take the ports of test and training processes from outside the range of outgoing connections

Cause: the fixtures asked the system for free ports, closed them and opened them again later. The system hands such ports to any outgoing connection in between, of which the tests and builds on a machine make many.

That it can't happen any more is reasoned, not shown: the failure was rare.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/ClassDataTrainingRun.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/ClassDataTrainingRun.kt
@@ -7,6 +7,7 @@
 import org.bulrushtack.daemon.settings.SettingsFile
 import org.bulrushtack.forward.lifecycle.ForwardingDaemon
 import org.bulrushtack.http.EventLoops
+import org.bulrushtack.http.FreePorts
 import org.bulrushtack.http.HttpClient
 import org.bulrushtack.http.HttpLimits
 import org.bulrushtack.http.HttpServer
@@ -14,8 +15,6 @@
 import org.bulrushtack.platform.training.TrainingPlatform
 import org.bulrushtack.platform.training.TrainingRequests
 import sun.misc.Signal
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.concurrent.thread
@@ -25,7 +24,7 @@
  * requests of each kind and stop, so that the build can record which classes a daemon loads.
  */
 fun main() {
-    val ports = freePorts()
+    val ports = FreePorts.find(PORTS_PER_DAEMON)
     val platformAddress = startPlatform()
     val file = settingsFile(host = "127.0.0.1", peer = "127.0.0.2", ports = ports, platform = platformAddress)
     val other = settingsFile(host = "127.0.0.2", peer = "127.0.0.1", ports = ports, platform = platformAddress)
@@ -42,7 +41,7 @@
 }
 
 private fun startPlatform(): String {
-    val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    val port = FreePorts.find(count = 1).single()
     val address = "127.0.0.1:$port"
     val limits = HttpLimits()
     val group = EventLoops.create(threads = 1)
@@ -61,11 +60,6 @@
     }
 }
 
-private fun freePorts(): List<Int> {
-    val sockets = List(PORTS_PER_DAEMON) { ServerSocket(0, 1, InetAddress.getLoopbackAddress()) }
-    return sockets.map { socket -> socket.use { it.localPort } }
-}
-
 private fun settingsFile(host: String, peer: String, ports: List<Int>, platform: String): Path {
     val keys = listOf("listen", "readiness", "directory", "metrics")
     val name = "training-${host.substringAfterLast('.')}"
