Act on SIGHUP again once the daemon runs

Cause: the JVM leaves a signal alone that is ignored when a handler is installed for it. SIGHUP was ignored first of all in main, so that both handlers were never installed.

Change: an empty handler in main, which the daemon's own replaces.

SignalTest now waits for the line of each kind of daemon; both new tests pass with the change. They were not run on the code before.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
@@ -15,7 +15,6 @@
 import org.slf4j.LoggerFactory
 import org.slf4j.bridge.SLF4JBridgeHandler
 import sun.misc.Signal
-import sun.misc.SignalHandler
 import java.nio.file.Path
 import java.security.SecureRandom
 import java.util.concurrent.CountDownLatch
@@ -23,8 +22,8 @@
 
 /** Entry point of `bulrushtackd`: reads the settings file, then checks it only or runs the daemon. */
 fun main(arguments: Array<String>) {
-    // Without a handler SIGHUP ends a JVM; there is nothing to reload before the daemon runs.
-    Signal.handle(Signal("HUP"), SignalHandler.SIG_IGN)
+    // Without a handler SIGHUP ends a JVM, and once it is ignored no handler can be installed any more.
+    Signal.handle(Signal("HUP")) { }
     val parser = ArgParser(programName = "bulrushtackd", strictSubcommandOptionsOrder = false)
     val file by parser.argument(type = ArgType.String, fullName = "FILE", description = "the settings file")
     val check by parser.option(ArgType.Boolean, fullName = "check", description = "only check FILE").default(false)
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/SignalTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/SignalTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.daemon.testing.DaemonFixture
 import org.bulrushtack.daemon.testing.DaemonProcess
+import org.bulrushtack.http.FreePorts
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
@@ -59,7 +60,48 @@
         }
     }
 
+    // Guards against a reload signal that is ignored, since no handler could be installed once the process ignored it.
+    @Test
+    fun `an entry daemon logs that a reload signal changes nothing`() {
+        DaemonFixture(daemonCount = 1, startDaemon = ::DaemonProcess).use { system ->
+            val daemon = system.daemons.single() as DaemonProcess
+
+            daemon.signal("HUP")
+
+            DaemonFixture.await("the log line") { "only read at a start" in daemon.log }
+        }
+    }
+
+    // Guards against the same in a forwarding daemon, whose settings then changed at the next poll only.
+    @Test
+    fun `a forwarding daemon reads its settings again at a reload signal`() {
+        val ports = FreePorts.find(FORWARD_PORTS).map { "127.0.0.1:$it" }
+        val file = Files.write(directory.resolve("daemon.ini"), forwardSettings(ports))
+        val log = directory.resolve("daemon.log")
+        val process = ProcessBuilder(DaemonProcess.command(file))
+            .redirectErrorStream(true)
+            .redirectOutput(log.toFile())
+            .start()
+        try {
+            DaemonFixture.await("the start of the daemon") { "The daemon has started." in Files.readString(log) }
+
+            ProcessBuilder("kill", "-HUP", "${process.pid()}").start().waitFor()
+
+            DaemonFixture.await("the reload") { "reason=\"SIGHUP\"" in Files.readString(log) }
+        } finally {
+            process.destroyForcibly().waitFor()
+        }
+    }
+
+    private fun forwardSettings(addresses: List<String>): List<String> {
+        val keys = listOf("listen", "readiness", "directory", "metrics")
+        return listOf("[daemon]", "name = vm-1", "data-centre = a", "[forward]") +
+            keys.mapIndexed { index, key -> "$key = ${addresses[index]}" } +
+            listOf("[peers]", "listen = ${addresses[keys.size]}", "[store]", "address = ${addresses.last()}")
+    }
+
     private companion object {
+        const val FORWARD_PORTS = 6
         const val SIGNAL_SECONDS = 2L
 
         /** 128 and the number of SIGTERM. */
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
@@ -31,6 +31,9 @@
         ProcessBuilder("kill", "-$name", process.pid().toString()).start().waitFor()
     }
 
+    /** The lines that the process has written. */
+    val log: String get() = Files.readString(output)
+
     /** Waits up to [seconds] for the process to exit by itself; returns whether it did. */
     fun exitsWithin(seconds: Long): Boolean = process.waitFor(seconds, TimeUnit.SECONDS)
 
