Announce no close in the head of a stream

A stream's head comes long before the end that it speaks of.

Change: a stopping server announces the close only with complete responses. A request behind a stream is answered, or refused as not run with the announcement; without one, the connection ends at the exit, in order.

The test that a request after an announced close isn't handled keeps its checks with a caller that asked for the close itself. PipelinedRequestsTest has the crossing request.

--- a/http/src/main/kotlin/org/bulrushtack/http/ConnectionCloser.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ConnectionCloser.kt
@@ -21,6 +21,12 @@
         this.cause.compareAndSet(null, cause)
     }
 
+    /** Records that a response announces the close unless [keepAlive]; returns [keepAlive]. */
+    fun announceUnless(keepAlive: Boolean): Boolean {
+        if (!keepAlive) closing(ConnectionEndCause.ANNOUNCED)
+        return keepAlive
+    }
+
     /** Closes [channel] because of [cause]; its client has [millis] to read what was written. */
     fun close(channel: Channel, cause: ConnectionEndCause, millis: Long = LingeringClose.DEFAULT_MILLIS) {
         closing(cause)
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpHandler.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpHandler.kt
@@ -2,7 +2,7 @@
 
 /** Responds to requests. Both functions are called on a network thread and must not block. */
 public interface HttpHandler {
-    /** Whether connections are closed after their next response. */
+    /** Whether connections are closed after their next response that is no stream. */
     public val isClosing: Boolean get() = false
 
     /** Learns of connections that end while they owe a response. */
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerConnection.kt
@@ -43,7 +43,6 @@
             field = value
         }
     private var isDelivered = true
-    private val mayKeepAlive: Boolean get() = !closer.isClosing && (!handler.isClosing || !pipelined.isEmpty)
 
     override fun channelActive(context: ChannelHandlerContext) {
         timer.start(context = context, millis = { limits().requestMillis })
@@ -104,7 +103,11 @@
                 exchange = ServerExchange(
                     request = progress.request,
                     channel = context.channel(),
-                    shouldKeepAlive = { progress.keepAlive && mayKeepAlive },
+                    // A request that crosses the head of a stream would wait for its end: that head announces no close.
+                    shouldKeepAlive = { isStream ->
+                        val mayAnnounce = handler.isClosing && !isStream && pipelined.isEmpty
+                        progress.keepAlive && !closer.isClosing && !mayAnnounce
+                    },
                     closer = closer,
                     errorResponse = { handler.errorResponse(RequestError.HANDLER_FAILED) },
                     onComplete = { finishExchange(context) },
--- a/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ServerExchange.kt
@@ -19,13 +19,13 @@
 
 /**
  * An exchange on a Netty connection; [onComplete] runs on the connection's thread after a complete response.
- * [shouldKeepAlive] is evaluated there when the response starts. [errorResponse] replaces a response that can't be
- * sent.
+ * [shouldKeepAlive] is evaluated there when the response starts, with whether it is a stream. [errorResponse] replaces
+ * a response that can't be sent.
  */
 internal class ServerExchange(
     override val request: HttpMessageRequest,
     private val channel: Channel,
-    private val shouldKeepAlive: () -> Boolean,
+    private val shouldKeepAlive: (isStream: Boolean) -> Boolean,
     private val closer: ConnectionCloser,
     private val errorResponse: () -> HttpMessageResponse,
     private val onComplete: () -> Unit,
@@ -33,9 +33,7 @@
     private val closedListeners = CopyOnWriteArrayList<() -> Unit>()
     private val writableListeners = CopyOnWriteArrayList<() -> Unit>()
     private val responded = AtomicBoolean(false)
-    private val keepAlive: Boolean by lazy(LazyThreadSafetyMode.NONE) {
-        shouldKeepAlive().also { if (!it) closer.closing(ConnectionEndCause.ANNOUNCED) }
-    }
+    private var keepAlive = true
 
     /** Whether the response has started. */
     val isStarted: Boolean get() = responded.get()
@@ -50,6 +48,7 @@
     override fun respond(response: HttpMessageResponse) {
         if (!responded.compareAndSet(false, true)) return
         channel.runOnLoop {
+            keepAlive = closer.announceUnless(shouldKeepAlive(false))
             val message = runCatching { message(response = response, keepAlive = keepAlive) }.getOrElse { cause ->
                 LOGGER.warn("A response can't be sent.", cause)
                 message(response = errorResponse(), keepAlive = keepAlive)
@@ -64,6 +63,7 @@
         HttpUtil.setTransferEncodingChunked(message, true)
         responded.set(true)
         channel.runOnLoop {
+            keepAlive = closer.announceUnless(shouldKeepAlive(true))
             HttpUtil.setKeepAlive(message, keepAlive)
             channel.writeAndFlush(message)
         }
--- a/http/src/test/kotlin/org/bulrushtack/http/PipelinedRequestsTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/PipelinedRequestsTest.kt
@@ -79,8 +79,9 @@
         }
     }
 
+    // Guards against a request that crossed the head of a stream and got no response when the stream ended.
     @Test
-    fun `a request that arrives after the close was announced is not handled`() {
+    fun `a request that crosses the head of a stream is answered by a closing server`() {
         fixture.handler.isClosing = true
         fixture.caller().use { caller ->
             caller.send(get("/first"))
@@ -91,6 +92,22 @@
             fixture.awaitRead()
             stream.end()
 
+            summary(caller.readAll()) shouldBe listOf("<stream>", "connection: close", "</now-second>")
+        }
+        fixture.endCount shouldBe 0
+    }
+
+    @Test
+    fun `a request that arrives after the close was announced is not handled`() {
+        fixture.caller().use { caller ->
+            caller.send("GET /first HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+            val stream = fixture.handler.next().stream(status = 200, contentType = "text/plain")
+            stream.write("<stream>".toByteArray())
+            while (caller.socket.getInputStream().available() == 0) Thread.onSpinWait()
+            caller.send(get("/now-second"))
+            fixture.awaitRead()
+            stream.end()
+
             summary(caller.readAll()) shouldBe listOf("connection: close", "<stream>")
         }
         fixture.nextEnd().cause shouldBe ConnectionEndCause.ANNOUNCED
