End a process whose daemon could not start

What callers saw: a daemon whose port was still taken at its start stayed as a process that serves nobody, which nothing starts again, and which ends neither at SIGTERM.

Cause: the failure ended the main thread only; the network threads keep the JVM alive.

Evidence: StartFailureTest failed before with "Expected 1 but actual was null" (the process ran on for 20 s).

Fix: main prints the failure and halts with status 1. It doesn't exit through the shutdown hooks, which would drain a daemon that has not started.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/Main.kt
@@ -36,7 +36,15 @@
         },
         ifRight = { it },
     )
-    if (check) println("$file: no faults") else run(settings, Path.of(file))
+    if (check) println("$file: no faults") else runOrHalt(settings, Path.of(file))
+}
+
+/** Network threads would keep a process alive that could not start; shutdown hooks would wait for its requests. */
+private fun runOrHalt(settings: DaemonSettings, file: Path) {
+    runCatching { run(settings, file) }.onFailure { failure ->
+        System.err.println("The daemon failed: ${failure.stackTraceToString()}")
+        Runtime.getRuntime().halt(EXIT_FAILED)
+    }
 }
 
 private fun run(settings: DaemonSettings, file: Path) {
@@ -69,4 +77,5 @@
     stopped.await()
 }
 
+private const val EXIT_FAILED = 1
 private const val EXIT_INVALID_SETTINGS = 2
