Keep servers in use that refuse a version a caller asks for

A caller that sent X-Expect-Version with a version that no server has took servers from all others: each such request had one more server left out until its next entry, and its callers got 503.

Cause: a 421 was always taken as another server answering at the address. The header is the caller's and is passed on, and servers answer 421 for it as well.

Seen before, ExpectedVersionTest: expected:<200> but was:<503>

After a request with that header, a 421 says nothing about which server answers: the request has not run, and the server stays in use and in good health. If it was another server after all, requests without the header find that out.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -153,10 +153,13 @@
         if (isFinished) return
         isFinished = true
         crashObserver.onFinished(result)
-        if (result.reason == BackendSend.MISDIRECTED) dependencies.state.fleet.markLeaving(result.serverId)
+        val isMisdirected = result.reason == BackendSend.MISDIRECTED
+        val isVersionRefused = isMisdirected && context.caller.requiresVersion
+        if (isMisdirected && !isVersionRefused) dependencies.state.fleet.markLeaving(result.serverId)
         progress.stop()
         reservations?.release()
-        val outcome = if (attributeToServer) placementOutcome(result.outcome) else PlacementOutcome.ABANDONED
+        val isServersOutcome = attributeToServer && !isVersionRefused
+        val outcome = if (isServersOutcome) placementOutcome(result.outcome) else PlacementOutcome.ABANDONED
         placement?.release(outcome, result.serverId, progress.firstEventMillis)
         listener.onAttemptFinished(result.copy(firstEventMillis = progress.firstEventMillis))
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/wire/CallerRequestHead.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/wire/CallerRequestHead.kt
@@ -10,6 +10,7 @@
  * @property key the workspace key
  * @property lastEventId the id of the last event of this stream that the caller received
  * @property prompt the size of the prompt; null for a call to a plain service
+ * @property requiresVersion whether servers that have another version of the model than the caller names refuse it
  * @property sharedParts the ids of those parts of the prompt that other requests may share; empty when it names none
  */
 data class CallerRequestHead(
@@ -18,5 +19,6 @@
     val key: String?,
     val lastEventId: String?,
     val prompt: PromptShape?,
+    val requiresVersion: Boolean = false,
     val sharedParts: Set<String> = emptySet(),
 )
