Ignore the account of a daemon whose address can't be used

A daemon with a low rank whose account of itself holds no usable address (an odd port, no host) became placement leader for the others. Each prompt that was to be placed by it ended in an exception and a 500, and the sync that was to reach it throws before those behind it are sent (read in the code).

Cause: addresses in accounts from peers were not checked, as those in the store's records are, and are parsed only when a connection is opened.

Seen before, MalformedMessageTest: a daemon whose address can't be used leads no placement: expected:<200> but was:<500>

Such an account is logged and not used, whether it is the sender's own or one that it passes on.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
@@ -2,6 +2,7 @@
 
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonSetDelta
+import org.bulrushtack.http.HostAndPort
 import org.bulrushtack.protocol.DaemonRecord
 import org.bulrushtack.protocol.SyncReply
 
@@ -20,22 +21,27 @@
         .setRevision(daemon.revision)
         .build()
 
-    fun fromWire(record: DaemonRecord): DaemonInfo = DaemonInfo(
-        name = record.name,
-        incarnation = record.incarnation,
-        dataCentre = record.dataCentre,
-        peerAddress = record.peerAddress,
-        frontAddress = record.frontAddress,
-        rank = record.rank.takeIf { it != NO_RANK },
-        ready = record.ready,
-        leaving = record.leaving,
-        revision = record.revision,
-    )
+    /** The daemon that [record] describes; null if no other daemon could reach it. */
+    fun fromWire(record: DaemonRecord): DaemonInfo? = if (HostAndPort.parse(record.peerAddress) == null) {
+        null
+    } else {
+        DaemonInfo(
+            name = record.name,
+            incarnation = record.incarnation,
+            dataCentre = record.dataCentre,
+            peerAddress = record.peerAddress,
+            frontAddress = record.frontAddress,
+            rank = record.rank.takeIf { it != NO_RANK },
+            ready = record.ready,
+            leaving = record.leaving,
+            revision = record.revision,
+        )
+    }
 
     fun delta(reply: SyncReply): DaemonSetDelta = DaemonSetDelta(
         version = reply.viewVersion,
         complete = reply.viewComplete,
-        daemons = reply.daemonsList.map { fromWire(it) },
+        daemons = reply.daemonsList.mapNotNull { fromWire(it) },
         removed = reply.goneList.toSet(),
     )
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -129,8 +129,18 @@
         }
     }
 
-    private fun observe(nowMillis: Long, record: DaemonRecord, direct: Boolean) =
-        observe(DaemonMessages.fromWire(record), atMillis = nowMillis - record.ageMillis, direct = direct)
+    private fun observe(nowMillis: Long, record: DaemonRecord, direct: Boolean) {
+        val daemon = DaemonMessages.fromWire(record)
+        if (daemon == null) {
+            log.warn(
+                "A daemon's account of itself can't be used.",
+                LogField("daemon", record.name),
+                LogField("address", record.peerAddress),
+            )
+        } else {
+            observe(daemon, atMillis = nowMillis - record.ageMillis, direct = direct)
+        }
+    }
 
     private fun observe(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
         val isNew = daemon.name != daemons.self.name && !daemons.isLive(daemon.name, atMillis)
