Read the values of a settings file as they are written

A settings file with a variable in a value, such as one that refers to itself, ended the thread that reads the file: at the start with a stack trace in place of the list of errors, later without a word, so that no change of the file was seen any more, and the last step of a stop, which that thread does, was left out.

Cause: the library resolves variables when a value is read, also from the environment and from other files, and throws where that fails or doesn't end. The reader expects errors only from the file's syntax.

Values are read without resolving anything, and a variable fails the check of its value as any other text. That the reading thread ends was read in the code, not seen in a process.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SettingsFileValidator.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/SettingsFileValidator.kt
@@ -36,13 +36,19 @@
 
     /** The value of [key] or its default; [validate] returns what is wrong with the value, or null. */
     fun validated(key: SettingsKey, validate: (String) -> String?): String {
-        val written = ini.getSection(key.section).getString(key.key)
+        val written = written(key)
         val value = if (written.isNullOrBlank()) key.default ?: written else written
         val error = if (value == null) "is missing: ${key.description}" else validate(value)
         if (error != null) addError(key.section, key.key, error)
         return value.orEmpty()
     }
 
+    /** The first value of [key] as it is written: variables in it are not resolved, since that may fail or not end. */
+    private fun written(key: SettingsKey): String? {
+        val value = ini.getSection(key.section).getProperty(key.key)
+        return (if (value is Collection<*>) value.firstOrNull() else value)?.toString()
+    }
+
     /** Adds an error; [section] or [key] is empty where the error concerns none. */
     fun addError(section: String, key: String, text: String) {
         errors.add(SettingsFileError(file = file, section = section, key = key, text = text))
