Go on reading the log and the VMs after an unexpected error

One unexpected error, in a reply or before it, ended an entry daemon's reading of its log or of the list of VMs for ever, and an error that is no exception, such as an exhausted stack, ended the ticks of its controllers; none of the first two left a line in the log. A query of the control thread that met an error never got a result.

Cause: a task that is repeated isn't run again after it has thrown, and the chains of futures had no end for a failure.

Each is logged and counts as a failed read, and the next read follows. The ticks' guard catches all errors.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/ControlThread.kt
@@ -42,10 +42,13 @@
     /** Queues [event] for the control loop; may be called from any thread. */
     fun post(event: Event) = submit { run(event) }
 
-    /** Reads the blackboard on the control thread. */
+    /** Reads the blackboard on the control thread; the result fails with what [read] throws. */
     fun <T> query(read: (Blackboard, Long) -> T): CompletableFuture<T> {
         val result = CompletableFuture<T>()
-        submit { result.complete(read(blackboard, clock.nowMillis())) }
+        submit {
+            runCatching { read(blackboard, clock.nowMillis()) }
+                .fold(onSuccess = { result.complete(it) }, onFailure = { result.completeExceptionally(it) })
+        }
         return result
     }
 
@@ -57,7 +60,7 @@
         }
     }
 
-    /** Handles [event]; an exception in a controller is logged, since it must not end the ticks. */
+    /** Handles [event]; an error in a controller is logged, since it must not end the ticks. */
     @Suppress("TooGenericExceptionCaught")
     private fun run(event: Event) {
         try {
@@ -66,8 +69,8 @@
             if (event is Event.Tick || event is Event.RecordsRead || event is Event.DrainRequested) {
                 snapshot = BlackboardSnapshot.of(blackboard = blackboard, nowMillis = nowMillis)
             }
-        } catch (exception: RuntimeException) {
-            log.warn { "Handling an event failed: ${event::class.simpleName}: ${exception.stackTraceToString()}" }
+        } catch (error: Throwable) {
+            log.warn { "Handling an event failed: ${event::class.simpleName}: ${error.stackTraceToString()}" }
         }
     }
 }
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/LogFollower.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/LogFollower.kt
@@ -1,11 +1,15 @@
 package org.bulrushtack.daemon.control
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import org.bulrushtack.core.control.Event
 import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.platform.LogPage
 import org.bulrushtack.core.platform.PlatformFailure
 import org.bulrushtack.core.platform.PlatformLog
 import org.bulrushtack.daemon.ComponentLog
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
@@ -23,17 +27,32 @@
     /** Starts reading at the oldest record that the log retains. */
     fun start() = read(fromOffset = 1)
 
+    /** An unexpected error counts as a failed read, since it must not end the reading. */
     private fun read(fromOffset: Long) {
         val requestedAtMillis = clock.nowMillis()
-        platformLog.read(fromOffset = fromOffset, waitMillis = READ_WAIT_MILLIS).thenAccept { result ->
-            result.fold(
-                ifLeft = { onReadFailed(failure = it, fromOffset = fromOffset) },
-                ifRight = { onPageRead(page = it, fromOffset = fromOffset, requestedAtMillis = requestedAtMillis) },
-            )
-        }
+        runCatching { platformLog.read(fromOffset = fromOffset, waitMillis = READ_WAIT_MILLIS) }
+            .getOrElse { CompletableFuture.failedFuture(it) }
+            .thenCompose { result ->
+                result.fold(
+                    ifLeft = { CompletableFuture.completedFuture(it.left()) },
+                    ifRight = { apply(it, fromOffset, requestedAtMillis) },
+                )
+            }
+            .exceptionally { PlatformFailure("unexpected: $it").left() }
+            .thenAccept { next ->
+                next.fold(
+                    ifLeft = { onReadFailed(failure = it, fromOffset = fromOffset) },
+                    ifRight = { read(fromOffset = it) },
+                )
+            }
     }
 
-    private fun onPageRead(page: LogPage, fromOffset: Long, requestedAtMillis: Long) {
+    /** Applies [page] and returns the offset to go on with. */
+    private fun apply(
+        page: LogPage,
+        fromOffset: Long,
+        requestedAtMillis: Long,
+    ): CompletableFuture<Either<PlatformFailure, Long>> {
         if (failures > 0) log.info { "Reading the log succeeds again after $failures failures." }
         failures = 0
         control.post(
@@ -43,8 +62,8 @@
                 requestedAtMillis = requestedAtMillis,
             ),
         )
-        control.query { blackboard, _ -> blackboard.log.projection.appliedOffset }.thenAccept { applied ->
-            read(fromOffset = nextOffset(page = page, fromOffset = fromOffset, appliedOffset = applied))
+        return control.query { blackboard, _ -> blackboard.log.projection.appliedOffset }.thenApply { applied ->
+            nextOffset(page = page, fromOffset = fromOffset, appliedOffset = applied).right()
         }
     }
 
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/control/VmPoller.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/control/VmPoller.kt
@@ -2,6 +2,8 @@
 
 import org.bulrushtack.core.control.Event
 import org.bulrushtack.core.platform.VmDirectory
+import org.bulrushtack.daemon.ComponentLog
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
@@ -11,14 +13,19 @@
     private val control: ControlThread,
     private val timer: ScheduledExecutorService,
 ) {
+    private val log = ComponentLog(component = "vms")
+
     /** Starts polling. */
     fun start() {
         timer.scheduleWithFixedDelay({ poll() }, 0, POLL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
+    /** An unexpected error is logged, since it must not end the polling. */
     private fun poll() {
-        directory.read().thenAccept { result ->
-            result.onRight { control.post(Event.VmListRead(records = it)) }
+        val reply = runCatching { directory.read() }.getOrElse { CompletableFuture.failedFuture(it) }
+        reply.whenComplete { result, failure ->
+            result?.onRight { control.post(Event.VmListRead(records = it)) }
+            if (failure != null) log.warn { "Reading the list of VMs failed unexpectedly: $failure." }
         }
     }
 }
