Bound what other daemons report of their age and memory

An account of a daemon, or of a placement, with a negative age counts as of the future: its sender stayed live without another word, and a placement stayed on its engine for as long. Token counts out of range made sums of an engine's memory overflow. Prompts were no longer placed.

Cause: numbers in messages of daemons were used as they came.

An age is at least 0, and a token count is within 0 to 2^31-1. No daemon sends others; the message that did the harm was not singled out, and the three bounds were not tried one by one.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -138,7 +138,7 @@
                 LogField("address", record.peerAddress),
             )
         } else {
-            observe(daemon, atMillis = nowMillis - record.ageMillis, direct = direct)
+            observe(daemon, atMillis = nowMillis - maxOf(0, record.ageMillis), direct = direct)
         }
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PlacementMessages.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PlacementMessages.kt
@@ -33,9 +33,9 @@
         service = request.service,
         dataCentre = request.dataCentre,
         shape = PromptShape(
-            promptTokens = request.promptTokens,
-            answerTokens = request.answerTokens,
-            maximumAnswerTokens = request.maximumAnswerTokens,
+            promptTokens = request.promptTokens.coerceIn(TOKENS),
+            answerTokens = request.answerTokens.coerceIn(TOKENS),
+            maximumAnswerTokens = request.maximumAnswerTokens.coerceIn(TOKENS),
         ),
         tokenGapMillis = request.pauseMillis,
         priority = request.priority,
@@ -75,10 +75,13 @@
         ingressDaemon = ingressDaemon,
         serverId = record.serverId,
         decodes = record.writes,
-        memoryTokens = record.memoryTokens,
-        contextTokens = record.contextTokens,
+        memoryTokens = record.memoryTokens.coerceIn(TOKENS),
+        contextTokens = record.contextTokens.coerceIn(TOKENS),
         prefillMillis = record.readMillis,
         tokenGapMillis = record.pauseMillis,
-        placedAtMillis = nowMillis - record.ageMillis,
+        placedAtMillis = nowMillis - maxOf(0, record.ageMillis),
     )
 }
+
+/** Sums of any such counts stay in range. */
+private val TOKENS = 0L..Int.MAX_VALUE
