Own interface: end the callers' connections in order before the process exits

What callers would see: a body that is still arriving when an idle entry daemon exits gets no response, and a connection with unread bytes is reset, which can destroy a response on its way.

Found by the reviewer, by reading.

Change: Drain refuses what is still arriving and closes all connections, for 100 ms, when nothing runs any more.

Evidence: ShutdownTest asks for the 408 of such a body and passes; it was not run on the code before. Run: ShutdownTest, SignalTest and StartFailureTest of daemon with formatter and linter: passed.

--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/Drain.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/lifecycle/Drain.kt
@@ -40,9 +40,17 @@
             control.post(Event.ExitDue)
             awaitIdle(deadlineMillis)
         }
+        closeConnections()
         log.info { "The drain has finished." }
     }
 
+    /** Refuses what is still arriving and ends all connections; without it the exit would reset them. */
+    private fun closeConnections() {
+        httpServer.refuseIncomplete()
+        httpServer.closeConnections(CLOSE_MILLIS)
+        sleepUntil(clock.nowMillis() + CLOSE_MILLIS)
+    }
+
     private fun awaitIdle(untilMillis: Long): Boolean {
         while (!isIdle()) {
             if (clock.nowMillis() >= untilMillis) return false
@@ -70,5 +78,8 @@
 private const val CACHE_MARGIN_MILLIS = 500L
 private const val IDLE_CHECK_MILLIS = 100L
 
+/** The time in which callers read what was written and close their connections. */
+private const val CLOSE_MILLIS = 100L
+
 /** The time in which the last responses reach their callers. */
 private const val FINAL_RESPONSE_MILLIS = 500L
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/ShutdownTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/ShutdownTest.kt
@@ -93,6 +93,20 @@
         running.join().status shouldBe 502
     }
 
+    // Guards against a body under way whose connection was reset without a response at the exit.
+    @Test
+    fun `a request that is still arriving at the exit gets a response`() {
+        val head = "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n" +
+            "Authorization: Bearer ${DaemonFixture.WORKSPACE_KEY}\r\n\r\n"
+
+        Socket("127.0.0.1", system.ports.single()).use { caller ->
+            caller.getOutputStream().write("$head{\"model\":".toByteArray())
+            terminate()
+
+            caller.getInputStream().readBytes().decodeToString() shouldStartWith "HTTP/1.1 408"
+        }
+    }
+
     private companion object {
         const val ENGINE_TOKENS = 900L
 
