Buffer less for clients that read slowly

A process in that state stalls, and its other connections go unanswered.

Cause: 64 kB were buffered for each connection before its server was paused; the flags leave 160 MB for 1,950 of them.

Change: reading pauses at 16 kB and goes on at 8 kB.

--- a/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpServer.kt
@@ -116,5 +116,7 @@
 private const val MAXIMUM_READ_BYTES = 16_384
 private const val FIRST_READ_BYTES = 2_048
 private const val MINIMUM_READ_BYTES = 64
-private const val LOW_WATER_MARK_BYTES = 32 * 1024
-private const val HIGH_WATER_MARK_BYTES = 64 * 1024
+
+/** What is buffered for a client that reads slowly; all connections of a process may have such clients at once. */
+private const val LOW_WATER_MARK_BYTES = 8 * 1024
+private const val HIGH_WATER_MARK_BYTES = 16 * 1024
