Start the daemons of tests with SIGHUP heeded

Cause: a process inherits an ignored SIGHUP, and the JVM then installs no handler. The test about the start passed there without a signal.

Change: the tests' daemons are started with the signal's default.

--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/testing/DaemonProcess.kt
@@ -57,8 +57,10 @@
     """.trimIndent()
 
     companion object {
-        /** The command that starts a daemon with the settings in [file]. */
+        /** The command that starts a daemon with the settings in [file]; it heeds SIGHUP even if this one does not. */
         fun command(file: Path): List<String> = listOf(
+            "env",
+            "--default-signal=HUP",
             "${System.getProperty("java.home")}/bin/java",
             "-Xmx256m",
             "-XX:+UseSerialGC",
