--- a/review/standin-2/Caller.java
+++ b/review/standin-2/Caller.java
@@ -34,7 +34,7 @@
         }
         Result result = new Result(attempt, sentNanos, response);
         String leaving = response != null && response.find("Server-Leaving") != null ? ", Server-Leaving" : "";
-        String stamp = response == null || response.find("X-Server-Stamp") == null ? "none" : response.find("X-Server-Stamp");
+        String stamp = response == null ? null : response.find("X-Server-Stamp");
         record.add("caller gets " + result.status() + " for " + attempt + ", stamp " + stamp + leaving + end);
         return result;
     }
--- a/review/standin-2/Engine.java
+++ b/review/standin-2/Engine.java
@@ -1,4 +1,3 @@
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -111,7 +110,7 @@
             if (isPoisonous) crash(current);
             if (isSilent(socket) || current != life) return;
             StringBuilder events = new StringBuilder();
-            for (int i = 1; i <= EVENTS; i++) events.append("id: ").append(i).append("\ndata: t").append(i).append("\n\n");
+            for (int i = 1; i <= EVENTS; i++) events.append("id: " + i + "\ndata: t" + i + "\n\n");
             Thread.sleep(EVENTS * PAUSE_MILLIS);
             if (isSilent(socket) || current != life) return;
             record.ran(attempt, id());
--- a/review/standin-2/LeavingServer.java
+++ b/review/standin-2/LeavingServer.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * Bookings through a daemon that is cut off from the store while a server leaves. The store accepts the server's report,
- * and all its answers say Server-Leaving. It serves for drain_ms and a little longer, then it exits. The rule is broken
- * if it gets a booking that was sent later than drain_ms after the daemon had passed on such an answer.
+ * Bookings through a daemon that is cut off from the store while a server leaves. The store accepts the server's
+ * report, and all its answers say Server-Leaving. It serves for drain_ms and a little longer, then it exits. The rule
+ * is broken if it gets a booking that was sent later than drain_ms after the daemon had passed on such an answer.
  */
 final class LeavingServer {
     private static final int WORK_MILLIS = 100;
--- a/review/standin-2/Platform.java
+++ b/review/standin-2/Platform.java
@@ -137,7 +137,8 @@
             String text = Base64.getEncoder().encodeToString(value);
             items.put(key, "{\"key\":\"" + key + "\",\"value\":\"" + text + "\",\"offset\":" + i + "}");
         }
-        return "{\"items\":[" + String.join(",", items.values()) + "],\"has_more\":false,\"end\":" + records.size() + "}";
+        return "{\"items\":[" + String.join(",", items.values()) + "],\"has_more\":false,\"end\":" + records.size()
+            + "}";
     }
 
     private static Map<String, String> query(String target) {
--- a/review/standin-2/PoisonedPart.java
+++ b/review/standin-2/PoisonedPart.java
@@ -10,8 +10,8 @@
  * Short prompts through three daemons to some engines. From some time on, some prompts hold a part that crashes each
  * engine that begins to write an answer on it. The rule is broken if more than three requests with that part reach
  * engines later than stable_window_ms after the fifth crash. The third argument says how the engines crash: "dark",
- * without a sign and back under a new id; "same", with all connections cut and back under the id that they had; "plain",
- * with all connections cut and back under a new id. The fourth is the number of engines.
+ * without a sign and back under a new id; "same", with all connections cut and back under the id that they had;
+ * "plain", with all connections cut and back under a new id. The fourth is the number of engines.
  */
 final class PoisonedPart {
     private static final String POISON = "bad0bad0";
@@ -47,8 +47,8 @@
         boolean isDark = crash.equals("dark");
         List<String> zones = List.of("akl-a", "akl-b", "akl-c");
         for (int i = 0; i < engines; i++) {
-            new Engine("i-e" + i + "3a91c2", zones.get(i % zones.size()), POISON, keepsIds, isDark, deployment.platform, record, arrivals,
-                crashes);
+            new Engine("i-e" + i + "3a91c2", zones.get(i % zones.size()), POISON, keepsIds, isDark,
+                deployment.platform, record, arrivals, crashes);
         }
         deployment.platform.put("keyed.op", "config", configuration());
         Thread.sleep(3_000);
@@ -80,9 +80,9 @@
             record.add("BUDGET: " + arrival.attempt() + " with the part " + POISON + " reached an engine " + millis
                 + " ms after the fifth crash");
         }
-        return record.verdict(late > MAXIMUM_LATE, crashes.size() + " crashes; " + late + " requests with the part that "
-            + "crashes engines reached engines later than " + STABLE_WINDOW_MILLIS + " ms after the fifth; " + sound[1]
-            + " of " + sound[0] + " sound requests were answered whole");
+        return record.verdict(late > MAXIMUM_LATE, crashes.size() + " crashes; " + late
+            + " requests with the part that crashes engines reached engines later than " + STABLE_WINDOW_MILLIS
+            + " ms after the fifth; " + sound[1] + " of " + sound[0] + " sound requests were answered whole");
     }
 
     private static int ask(Entry entry, String attempt, boolean isPoisonous, Record record) {
