--- a/review/standin-2/Entry.java
+++ b/review/standin-2/Entry.java
@@ -54,6 +54,23 @@
         }
     }
 
+    /** A port that is free now on all of [hosts], since daemons share the port for their peers. */
+    static int freePort(List<String> hosts) throws IOException {
+        for (int i = 0; i < 100; i++) {
+            int port = freePort(hosts.get(0));
+            if (hosts.stream().allMatch(host -> isFree(host, port))) return port;
+        }
+        throw new IOException("no port is free on all addresses");
+    }
+
+    private static boolean isFree(String host, int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
     /** Waits until the daemon says that it is ready. */
     void awaitReady() throws Exception {
         for (int i = 0; i < 300; i++) {
