Settle whether a request was sent in the same step that ends it

Cause: ClientExchange read whether a request had a connection and ended it in two steps. The timeout of a call runs on any network thread; on the own interface, which has several, the request could be written in between. The call then counted as not sent, a promise on which the owner sends a booking again.

Change: SendProgress holds both, and one atomic step ends the request and says whether it was sent.

--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import java.io.IOException
-import java.util.concurrent.atomic.AtomicBoolean
 
 /** One request on one connection; [onIdle] gets the connection back after a complete response. */
 internal class ClientExchange(
@@ -21,7 +20,7 @@
     private val listener: ResponseListener,
     private val onIdle: (String, Channel) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>(), ClientCall {
-    private val finished = AtomicBoolean(false)
+    private val progress = SendProgress()
 
     @Volatile
     private var channel: Channel? = null
@@ -31,7 +30,7 @@
     /** Sends the request; must run on the connection's thread. */
     fun start(connected: Channel) {
         channel = connected
-        if (finished.get()) {
+        if (!progress.markSent()) {
             connected.close()
             return
         }
@@ -43,16 +42,17 @@
         }
     }
 
-    override val isSent: Boolean get() = channel != null
+    override val isSent: Boolean get() = progress.isSent
 
     override fun cancel() = abort(reason = "cancelled")
 
     /**
-     * Fails the exchange from this side; nothing was sent unless there is a connection. After a complete response this
-     * does nothing, since the connection may serve another request by then.
+     * Fails the exchange from this side. After a complete response this does nothing, since the connection may serve
+     * another request by then.
      */
     fun abort(reason: String) {
-        if (fail(HttpFailure(sent = isSent, reason = reason))) channel?.close()
+        val isFirst = fail { isSent -> HttpFailure(sent = isSent, reason = reason) }
+        if (isFirst) channel?.close()
     }
 
     override fun setReading(reading: Boolean) {
@@ -60,7 +60,7 @@
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
-        if (finished.get()) return
+        if (progress.isFinished) return
         if (message is HttpResponse) informational = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
         when {
             message.decoderResult().isFailure -> abort("malformed answer")
@@ -73,13 +73,13 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail(HttpFailure(sent = true, reason = "connection closed", closedByPeer = true))
+        fail { HttpFailure(sent = true, reason = "connection closed", closedByPeer = true) }
         super.channelInactive(context)
     }
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail(HttpFailure(sent = true, reason = cause.toString(), closedByPeer = cause is IOException))
+        fail { HttpFailure(sent = true, reason = cause.toString(), closedByPeer = cause is IOException) }
         context.close()
     }
 
@@ -101,7 +101,7 @@
     }
 
     private fun complete(context: ChannelHandlerContext) {
-        if (!finished.compareAndSet(false, true)) return
+        if (progress.finish() == null) return
         if (keepAlive && !request.dedicatedConnection) {
             context.pipeline().replace(this, null, IdleConnectionHandler())
             onIdle(request.address, context.channel())
@@ -111,10 +111,10 @@
         listener.onComplete()
     }
 
-    private fun fail(failure: HttpFailure): Boolean {
-        val isFirst = finished.compareAndSet(false, true)
-        if (isFirst) listener.onFailure(failure)
-        return isFirst
+    private fun fail(failure: (isSent: Boolean) -> HttpFailure): Boolean {
+        val wasSent = progress.finish()
+        if (wasSent != null) listener.onFailure(failure(wasSent))
+        return wasSent != null
     }
 }
 
--- a/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
@@ -3,10 +3,18 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOutboundHandlerAdapter
+import io.netty.channel.ChannelPromise
+import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.channel.local.LocalChannel
+import io.netty.channel.local.LocalIoHandler
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.atomic.AtomicBoolean
 
 class ClientExchangeTest : AnnotationSpec() {
     private val request = ClientRequest(method = "GET", address = "127.0.0.1:1", path = "/")
@@ -57,6 +65,28 @@
         listener.failures.single().sent shouldBe false
     }
 
+    // Guards against a booking that is sent again, since a timeout on another thread took the first one for not sent.
+    @Test
+    fun `a request that is aborted while it is being sent is reported as not sent only if nothing was written`() {
+        val group = MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory())
+        repeat(ABORTED_SENDS) { number ->
+            val written = AtomicBoolean(false)
+            val channel = LocalChannel().apply { pipeline().addLast(WriteRecorder(written)) }
+            group.register(channel).sync()
+            val listener = FakeResponseListener()
+            val testSubject = ClientExchange(request, listener, onIdle = { _, _ -> })
+
+            val start = channel.eventLoop().submit { testSubject.start(channel) }
+            repeat(number % MAXIMUM_SPINS) { Thread.onSpinWait() }
+            testSubject.abort(reason = "timed out")
+            start.sync()
+
+            if (written.get()) listener.failures.single().sent shouldBe true
+            channel.close().sync()
+        }
+        group.shutdownGracefully()
+    }
+
     @Test
     fun `an informational response is skipped`() {
         val channel = EmbeddedChannel()
@@ -68,4 +98,22 @@
         listener.statuses shouldBe listOf(200)
         listener.body shouldBe "whole"
     }
+
+    /** Records whether a message was written, and drops it. */
+    private class WriteRecorder(
+        private val written: AtomicBoolean,
+    ) : ChannelOutboundHandlerAdapter() {
+        override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+            written.set(true)
+            ReferenceCountUtil.release(message)
+            promise.setSuccess()
+        }
+    }
+
+    private companion object {
+        const val ABORTED_SENDS = 20_000
+
+        /** Lets the abort meet each step of the start. */
+        const val MAXIMUM_SPINS = 2_000
+    }
 }
