Own interface: a call that may have run never ends with "not run"

What callers would see: a repeatable call was lost on one server, found no second one, and was answered 503 with ran "no".

Cause: CallDispatches and CallDeadlines report the problem of the last attempt. Completions remember that an earlier attempt may have run, calls did not.

Change: ActiveCall remembers it, and CallsRegion reports backend-lost (502, unknown) in place of a kind that states that nothing ran. Calls that reached no server are refused as before. Calls under a claim were right: they are sent again only while nothing can have run.

--- a/core/src/main/kotlin/org/bulrushtack/core/call/ActiveCall.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/ActiveCall.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.core.call
 
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.log.CallKey
 
 /**
@@ -9,6 +10,7 @@
  * @property claimKey the key of the claim in the log; null for a repeatable operation
  * @property claimId the identifier of this daemon's claim record; null before one was appended
  * @property retryAtMillis when to retry, or in [Stage.CLAIMING] when the claim times out
+ * @property mayHaveRun whether an earlier attempt may have reached a backend server
  * @property callerAnswered whether the caller got an error because its deadline passed while the outcome was open
  */
 public data class ActiveCall(
@@ -21,11 +23,15 @@
     val failedServers: Set<String> = emptySet(),
     val retryAtMillis: Long? = null,
     val lastProblem: Problem? = null,
+    val mayHaveRun: Boolean = false,
     val callerAnswered: Boolean = false,
 ) {
-    /** Returns the call with its current server moved to [failedServers]. */
-    internal fun afterFailedAttempt(): ActiveCall =
-        copy(failedServers = failedServers + listOfNotNull(server), server = null)
+    /** Returns the call after its current attempt failed with [problem], with its server moved to [failedServers]. */
+    internal fun afterFailedAttempt(problem: Problem): ActiveCall = copy(
+        failedServers = failedServers + listOfNotNull(server),
+        server = null,
+        mayHaveRun = mayHaveRun || problem.kind.runState != RunState.NO,
+    )
 
     /** The progress of a call. */
     public enum class Stage {
--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallDeadlines.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallDeadlines.kt
@@ -5,7 +5,6 @@
 import org.bulrushtack.core.control.Blackboard
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
-import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.server.BackendServerDirectory
 
 /** Fails calls that have waited too long or that the exit of the process ends, with the error that fits their stage. */
@@ -29,13 +28,12 @@
     /** A claim whose call was sent stays without an outcome, which tells other daemons that it is undecided. */
     private fun end(active: ActiveCall): List<Action> {
         val isRepeatable = active.claimKey == null
-        val lastKind = active.lastProblem?.kind?.takeIf { it.runState != RunState.NO }
         return when (active.stage) {
             Stage.CLAIMING -> abandon(active)
             Stage.AWAITING_HOLDER -> region.fail(active, ErrorKind.CALL_UNDECIDED)
             Stage.READY -> {
                 claims.release(active)
-                region.fail(active, lastKind ?: ErrorKind.DRAINING)
+                region.fail(active, ErrorKind.DRAINING)
             }
             Stage.SENT -> region.fail(active, if (isRepeatable) ErrorKind.BACKEND_LOST else ErrorKind.OUTCOME_UNKNOWN)
         }
--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallDispatches.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallDispatches.kt
@@ -66,8 +66,11 @@
         val mayRepeat = active?.claimKey == null || event.problem.kind.runState == RunState.NO
         return when {
             active == null -> emptyList()
-            mayRepeat ->
-                retryOrFail(active = active.afterFailedAttempt(), problem = event.problem, nowMillis = nowMillis)
+            mayRepeat -> retryOrFail(
+                active = active.afterFailedAttempt(event.problem),
+                problem = event.problem,
+                nowMillis = nowMillis,
+            )
             else -> {
                 claims.recordOutcome(active = active, known = false, answer = null)
                 region.fail(active, ErrorKind.OUTCOME_UNKNOWN)
--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallsRegion.kt
@@ -3,6 +3,7 @@
 import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.log.CallAnswer
 import org.bulrushtack.core.log.CallKey
 
@@ -19,16 +20,21 @@
     }
 
     /** Completes [call] with an answer, unless its caller already got the error that its deadline passed. */
-    internal fun answer(call: ActiveCall, answer: CallAnswer, replayed: Boolean): List<Action> {
-        active.remove(call.call.id)
-        if (call.callerAnswered) return emptyList()
-        return listOf(Action.AnswerCall(requestId = call.call.id, answer = answer, replayed = replayed))
-    }
+    internal fun answer(call: ActiveCall, answer: CallAnswer, replayed: Boolean): List<Action> =
+        complete(call, Action.AnswerCall(requestId = call.call.id, answer = answer, replayed = replayed))
 
-    /** Completes [call] with an error, unless its caller already got the error that its deadline passed. */
+    /**
+     * Completes [call] with an error, unless its caller already got the error that its deadline passed. A last attempt
+     * that reached no server must not hide that an earlier one may have run.
+     */
     internal fun fail(call: ActiveCall, kind: ErrorKind): List<Action> {
+        val hidesRun = call.mayHaveRun && kind.runState == RunState.NO
+        val problem = if (hidesRun) Problem(ErrorKind.BACKEND_LOST, detail = kind.text) else Problem(kind)
+        return complete(call, Action.FailCall(requestId = call.call.id, problem = problem))
+    }
+
+    private fun complete(call: ActiveCall, action: Action): List<Action> {
         active.remove(call.call.id)
-        if (call.callerAnswered) return emptyList()
-        return listOf(Action.FailCall(requestId = call.call.id, problem = Problem(kind)))
+        return if (call.callerAnswered) emptyList() else listOf(action)
     }
 }
