Pass a status that promises "not run" on only where the server states it

Cause: FinalResponse passed a server's failure on whatever its status was, and the own interface did the same with the answer of a plain service, also to a repeat with the same key. 408, 421, 429 and 503 promise callers that a request has not run and never will; only a server's own statement is such a promise.

Change: a request that may run once gets 502 outcome-unknown, without the server's signature, in place of such a status. A response in which the server states that it did not run the request never gets there: it ends the send as not run. Repeatable requests, other failures and true refusals are as before.

--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallsRegion.kt
@@ -3,6 +3,7 @@
 import org.bulrushtack.core.control.Action
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RefusalStatus
 import org.bulrushtack.core.error.RunState
 import org.bulrushtack.core.log.CallAnswer
 import org.bulrushtack.core.log.CallKey
@@ -19,17 +20,26 @@
         active[call.call.id] = call
     }
 
-    /** Completes [call] with an answer, unless its caller already got the error that its deadline passed. */
-    internal fun answer(call: ActiveCall, answer: CallAnswer, replayed: Boolean): List<Action> =
-        complete(call, Action.AnswerCall(requestId = call.call.id, answer = answer, replayed = replayed))
+    /**
+     * Completes [call] with an answer, unless its caller already got the error that its deadline passed. A service that
+     * has got a call can't promise by a status that it hasn't run; the caller of one under a claim would make another.
+     */
+    internal fun answer(call: ActiveCall, answer: CallAnswer, replayed: Boolean): List<Action> {
+        val action = Action.AnswerCall(requestId = call.call.id, answer = answer, replayed = replayed)
+        return if (call.claimKey != null && RefusalStatus.promisesNotRun(answer.status)) {
+            fail(call, ErrorKind.OUTCOME_UNKNOWN, detail = "The service responded with status ${answer.status}.")
+        } else {
+            complete(call, action)
+        }
+    }
 
     /**
      * Completes [call] with an error, unless its caller already got the error that its deadline passed. A last attempt
      * that reached no server must not hide that an earlier one may have run.
      */
-    internal fun fail(call: ActiveCall, kind: ErrorKind): List<Action> {
+    internal fun fail(call: ActiveCall, kind: ErrorKind, detail: String = ""): List<Action> {
         val hidesRun = call.mayHaveRun && kind.runState == RunState.NO
-        val problem = if (hidesRun) Problem(ErrorKind.BACKEND_LOST, detail = kind.text) else Problem(kind)
+        val problem = if (hidesRun) Problem(ErrorKind.BACKEND_LOST, detail = kind.text) else Problem(kind, detail)
         return complete(call, Action.FailCall(requestId = call.call.id, problem = problem))
     }
 
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/PlatformFailureTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/PlatformFailureTest.kt
@@ -79,6 +79,22 @@
         system.serviceRuns().count { it == key } shouldBe 1
     }
 
+    // Guards against callers who book again with another key, since a service that ran a booking answers with 503.
+    @Test
+    fun `a booking that ran is not reported as refused, nor its repeat, and a repeatable call gets the answer`() {
+        val key = system.newIdempotencyKey()
+        system.send(system.service.controlPort, "POST", "/control/faults", """{"status":503}""")
+
+        val first = system.book(idempotencyKey = key, port = system.ports.first()).join()
+        val second = system.book(idempotencyKey = key, port = system.ports.last()).join()
+        val lookup = system.book(idempotencyKey = null, port = system.ports.first(), operation = "lookup").join()
+
+        listOf(first, second).map { it.status } shouldBe listOf(502, 502)
+        listOf(first, second).map { system.json(it)["kind"].asText() }.toSet() shouldBe setOf("outcome-unknown")
+        system.serviceRuns().count { it == key } shouldBe 1
+        lookup.status shouldBe 503
+    }
+
     @Test
     fun `a completion loses no token when its engine restarts mid-stream`() {
         val pendingResponse = CompletableFuture.supplyAsync {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
@@ -2,12 +2,14 @@
 
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.error.RefusalStatus
 import org.bulrushtack.core.exchange.SendCount
 import org.bulrushtack.core.exchange.SendOutcome
 import org.bulrushtack.core.route.Repeatability
 import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpExchange
+import org.bulrushtack.http.HttpMessageResponse
 
 /** Sends a caller its single final response: the server's own, or a problem that matches what was sent. */
 internal class FinalResponse(
@@ -22,22 +24,22 @@
         private set
 
     /** The time since the request arrived. */
-    fun ageMillis(): Long = dependencies.thread.nowMillis() - context.receivedAtMillis
+    val ageMillis: Long get() = dependencies.thread.nowMillis() - context.receivedAtMillis
 
     /** Responds after the last send, which had [result]. */
     fun afterSend(result: SendResult, sends: SendCount) {
         when {
             result.outcome == SendOutcome.DELIVERED -> {
-                dependencies.metrics.recordResponse(context.route.name, STATUS_OK, ageMillis())
+                dependencies.metrics.recordResponse(context.route.name, STATUS_OK, ageMillis)
                 finish("answered")
             }
             relay.isStarted -> abort("the server's response was incomplete")
-            result.failure != null -> {
-                dependencies.metrics.recordResponse(context.route.name, result.failure.status, ageMillis())
+            result.failure != null && mayReachCaller(result.failure) -> {
+                dependencies.metrics.recordResponse(context.route.name, result.failure.status, ageMillis)
                 finish("server failure")
                 exchange.respond(result.failure)
             }
-            sends.mayHaveRun -> problem(lostResponseKind())
+            sends.mayHaveRun -> problem(lostResponseKind(), detail = result.failure?.let { statusDetail(it) }.orEmpty())
             result.outcome == SendOutcome.NOT_SENT -> problem(ErrorKind.NOT_DISPATCHED)
             else -> problem(ErrorKind.OVERLOADED)
         }
@@ -67,8 +69,17 @@
     /** Closes the request without a response, as the caller has disconnected. */
     fun callerDisconnected() = finish("caller left")
 
+    /**
+     * A server that has not run a request states so, and its response is no [failure] then. Any other response with the
+     * status of a refusal would let the caller repeat what may run only once.
+     */
+    private fun mayReachCaller(failure: HttpMessageResponse): Boolean =
+        !isRunOnce || !RefusalStatus.promisesNotRun(failure.status)
+
+    private val isRunOnce: Boolean get() = context.route.repeatability == Repeatability.ONCE
+
     private fun lostResponseKind(): ErrorKind =
-        if (context.route.repeatability == Repeatability.ONCE) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.BACKEND_LOST
+        if (isRunOnce) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.BACKEND_LOST
 
     private fun abort(reason: String) {
         finish("broken off: $reason")
@@ -93,7 +104,7 @@
             LogField("request", context.requestId),
             LogField("route", context.route.name),
             LogField("how", how),
-            LogField("age_millis", ageMillis()),
+            LogField("age_millis", ageMillis),
             LogField("objective_millis", context.route.objectiveMillis),
         )
         onFinished()
@@ -101,3 +112,6 @@
 }
 
 private const val STATUS_OK = 200
+
+private fun statusDetail(failure: HttpMessageResponse): String =
+    "The server responded with status ${failure.status} and did not state that it had not run the request."
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -84,7 +84,7 @@
             LogField("sends", sends.arrived),
             LogField("again", resend),
             LogField("first_event_millis", result.firstEventMillis),
-            LogField("age_millis", response.ageMillis()),
+            LogField("age_millis", response.ageMillis),
         )
         if (resend) startAttempt() else response.afterSend(result = result, sends = sends)
     }
@@ -121,7 +121,7 @@
         if (firstEventRelayed) return
         firstEventRelayed = true
         usage.record()
-        dependencies.metrics.recordTimeToFirstEvent(context.route.name, response.ageMillis())
+        dependencies.metrics.recordTimeToFirstEvent(context.route.name, response.ageMillis)
     }
 
     private fun finished() {
--- a/standin/src/main/kotlin/org/bulrushtack/standin/service/ServiceStandIn.kt
+++ b/standin/src/main/kotlin/org/bulrushtack/standin/service/ServiceStandIn.kt
@@ -69,7 +69,7 @@
             exchange.abort()
         } else {
             val headers = HttpHeaderList().with(name = "x-incarnation", value = state.incarnation)
-            exchange.respond(StandInRouter.json(status = 201, value = run, headers = headers))
+            exchange.respond(StandInRouter.json(status = faults.status, value = run, headers = headers))
         }
     }
 
