Tell an outage of the store from the time without a reader, and replace the reader sooner

Cause, three parts. (1) StoreReplica kept a removed server for 2.2 s if its own copy was older than 1.5 s, as its entry might have lapsed in an outage. The copy is that old as well while another daemon takes over the reading. (2) The turns at reading were 0.5 s apart, so that one lost turn alone took the time that is left. (3) A daemon that had failed to read went back to one topic only; its substitute kept the others for good, and the turn of a substitute that is cut off itself is a lost one.

Change: LapsedEntryPolicy. An entry lapses after three heartbeat intervals of silence (heartbeat-milliseconds, from the platform's settings), so nothing lapses unless nobody has read the store for two intervals; after such a time entries that are found removed count until 2.2 s after the store was read again, not only those of the first read. Turns are 0.25 s apart, and a daemon that has read one topic reads all again.

--- a/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
@@ -69,8 +69,11 @@
     }
 }
 
-/** One try of all daemons in this time finds the store's return soon enough to pass on a change within 2 s. */
-private const val INTERVAL_MILLIS = 500L
+/**
+ * One try of all daemons in this time finds the store's return soon enough to pass on a change within 2 s, also if the
+ * first daemon whose turn it is can't read the store either.
+ */
+private const val INTERVAL_MILLIS = 250L
 
 /** The waits of the daemon that reads for all. */
 private const val FIRST_WAIT_MILLIS = 500L
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsKey.kt
@@ -121,6 +121,13 @@
         unit = "",
         description = "IP number and port of the platform's store",
     ),
+    HEARTBEAT(
+        section = "store",
+        key = "heartbeat-milliseconds",
+        default = "1200",
+        unit = "ms",
+        description = "how often a backend server writes its entry; it lapses after three times as long",
+    ),
     VM_PROCESSOR_SHARE(
         section = "vm",
         key = "processor-share",
--- a/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReader.kt
+++ b/daemon/src/main/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReader.kt
@@ -30,6 +30,7 @@
         metricsListen = validator.hostAndPort(ForwardSettingsKey.METRICS_LISTEN),
         seeds = validator.hosts(ForwardSettingsKey.SEEDS),
         storeAddress = validator.hostAndPort(ForwardSettingsKey.STORE),
+        heartbeatMillis = validator.number(ForwardSettingsKey.HEARTBEAT, HEARTBEAT_RANGE),
         graceMillis = validator.number(ForwardSettingsKey.GRACE, GRACE_RANGE) * MILLIS_PER_SECOND,
         retryRatio = validator.decimal(ForwardSettingsKey.RETRY_RATIO),
         retrySlack = validator.decimal(ForwardSettingsKey.RETRY_SLACK),
@@ -96,6 +97,10 @@
 private val CLIENT_MEMORY_RANGE = 0L..MAXIMUM_VM_MEGABYTES
 private val DESCRIPTORS_RANGE = 0L..MAXIMUM_DESCRIPTORS
 
+private const val MINIMUM_HEARTBEAT_MILLIS = 50L
+private const val MAXIMUM_HEARTBEAT_MILLIS = 60_000L
+private val HEARTBEAT_RANGE = MINIMUM_HEARTBEAT_MILLIS..MAXIMUM_HEARTBEAT_MILLIS
+
 private const val MILLIS_PER_SECOND = 1_000L
 private const val MAXIMUM_GRACE_SECONDS = 3_600L
 private const val MAXIMUM_KEEP_SECONDS = 60L
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReaderTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/settings/ForwardSettingsReaderTest.kt
@@ -30,6 +30,7 @@
         "limits.memory_mb" to "282",
         "limits.max_fds" to "2069",
         "limits.link_mbps" to "9.8",
+        "heartbeat_ms" to "1300",
         "cloud.address" to "127.0.0.8:90",
         "cloud.duties" to "usage_report,autoscale",
         "cloud.duty_per_s" to "10",
@@ -57,6 +58,7 @@
         settings?.reservationFreeMillis shouldBe 5_000
         settings?.retrySlack shouldBe 102.0
         settings?.responseBytes shouldBe 67_108_864
+        settings?.heartbeatMillis shouldBe 1_300
     }
 
     @Test
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardSettings.kt
@@ -13,6 +13,7 @@
  * @property metricsListen host and port of the metrics endpoint
  * @property seeds hosts on which other daemons may run
  * @property storeAddress host and port of the platform's store
+ * @property heartbeatMillis how often a backend server writes its entry in the store
  * @property graceMillis the grace period from SIGTERM to SIGKILL
  * @property retryRatio the resends per request to a service that all daemons together may make
  * @property retrySlack the further resends that all daemons together may make
@@ -45,4 +46,7 @@
     val vm: VmResources = VmResources(),
     val duties: DutySettings? = null,
     val clients: ClientLimits = ClientLimits(),
+    val heartbeatMillis: Long = DEFAULT_HEARTBEAT_MILLIS,
 )
+
+private const val DEFAULT_HEARTBEAT_MILLIS = 1_200L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -54,6 +54,7 @@
 import org.bulrushtack.forward.quarantine.CrashRecordWriter
 import org.bulrushtack.forward.quarantine.CrashReports
 import org.bulrushtack.forward.store.ForwardState
+import org.bulrushtack.forward.store.LapsedEntryPolicy
 import org.bulrushtack.forward.store.PeerRecords
 import org.bulrushtack.forward.store.StoreFollower
 import org.bulrushtack.forward.store.StoreReplica
@@ -87,6 +88,7 @@
     val state = ForwardState(
         daemons = daemons,
         startupGracePeriod = StartupGracePeriod(startedAtMillis = clock.nowMillis()),
+        lapses = LapsedEntryPolicy(heartbeatMillis = settings.heartbeatMillis),
     )
     private val clientReports = ClientReports(metrics = metrics, log = logs.forComponent("clients"))
     private val resourceLimits = ResourceLimits(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
@@ -9,6 +9,7 @@
 internal class ForwardState(
     val daemons: DaemonTable,
     val startupGracePeriod: StartupGracePeriod,
+    val lapses: LapsedEntryPolicy,
 ) {
     val fleet = FleetRegion()
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -107,6 +107,7 @@
                 if (unavailable) log.info("The platform's store is available again.", LogField("topic", topic))
                 unavailable = false
                 schedule.recordSuccess()
+                polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
                 if (!isReader) onRead()
                 startOverdue(nowMillis)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -28,9 +28,16 @@
     fun merge(topic: StoreTopic, batch: RecordBatch, ageMillis: Long, source: String) {
         val nowMillis = clock.nowMillis()
         val local = topics.getValue(topic)
-        val dropDelayMillis = if (ageMillis(topic) > STORE_OUTAGE_MILLIS) LAPSED_ENTRY_DROP_DELAY_MILLIS else 0
-        local.confirmedAtMillis = maxOf(local.confirmedAtMillis ?: Long.MIN_VALUE, nowMillis - ageMillis)
+        val unreadMillis = local.confirm(readAtMillis = nowMillis - ageMillis)
+        if (state.lapses.recordRead(topic, unreadMillis, nowMillis)) {
+            log.info(
+                "Nobody read the store for a while; entries that are removed now may only have lapsed.",
+                LogField("topic", topic),
+                LogField("unread_millis", unreadMillis),
+            )
+        }
         if (batch.endOffset >= local.replica.endOffset) {
+            val dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis)
             val context = UpdateContext(nowMillis = nowMillis, dropDelayMillis = dropDelayMillis, source = source)
             local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
                 // Whatever a record does to the code that applies it, the others of the batch are not read again.
@@ -117,6 +124,14 @@
     private class LocalTopic {
         val replica = TopicReplica()
         var confirmedAtMillis: Long? = null
+            private set
+
+        /** Records that the topic was read at [readAtMillis]; returns the time since the last read before, or 0. */
+        fun confirm(readAtMillis: Long): Long {
+            val lastReadAtMillis = confirmedAtMillis ?: readAtMillis
+            confirmedAtMillis = maxOf(lastReadAtMillis, readAtMillis)
+            return readAtMillis - lastReadAtMillis
+        }
     }
 }
 
@@ -125,9 +140,3 @@
 
 /** The oldest replica while one daemon reads every 0.5 s and passes on what it gets every 0.4 s. */
 private const val STALE_MILLIS = 1_000L
-
-/** After a longer outage of the store, entries may have lapsed although their servers are alive. */
-private const val STORE_OUTAGE_MILLIS = 1_500L
-
-/** The platform specifies that lapsed entries of live servers return about two seconds after the store does. */
-private const val LAPSED_ENTRY_DROP_DELAY_MILLIS = 2_200L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/duty/ScaleTaskTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/duty/ScaleTaskTest.kt
@@ -12,7 +12,6 @@
 import io.kotest.matchers.string.shouldNotContain
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
-import org.bulrushtack.core.daemon.StartupGracePeriod
 import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.placement.PlacementRequest
 import org.bulrushtack.core.placement.PromptShape
@@ -25,7 +24,7 @@
 import org.bulrushtack.forward.DutySettings
 import org.bulrushtack.forward.ForwardMetrics
 import org.bulrushtack.forward.log.EventLogs
-import org.bulrushtack.forward.store.ForwardState
+import org.bulrushtack.forward.testing.FakeDaemon
 import org.bulrushtack.forward.testing.FakeDutyCodec
 import org.bulrushtack.forward.testing.FakeDutySession
 import org.bulrushtack.forward.testing.FakeTime
@@ -39,7 +38,7 @@
 
     private val time = FakeTime()
     private val engine = EngineProfile(11, 315_000, 51, 0.85, 0.00618, 0.00285, 177.0, 0.184, 2_048, 0.05, 1_622)
-    private val state = ForwardState(DaemonTable(info("vm-1", "a")), StartupGracePeriod(0)).also {
+    private val state = FakeDaemon.state(DaemonTable(info("vm-1", "a"))).also {
         it.routing = routing(ScaleLimits(minimum = 1, maximum = 20, bootMillis = 8_000))
     }
     private var listAgeMillis = 0L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/lifecycle/RegistrationTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/lifecycle/RegistrationTest.kt
@@ -3,11 +3,9 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeAtMost
 import io.kotest.matchers.shouldBe
-import org.bulrushtack.core.daemon.StartupGracePeriod
 import org.bulrushtack.core.store.RecordBatch
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.log.EventLogs
-import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.testing.FakeDaemon
 import org.bulrushtack.forward.testing.FakeSharedStore
 import org.bulrushtack.forward.testing.FakeTime
@@ -26,7 +24,7 @@
         val registration = Registration(
             store = client,
             replica = replica,
-            state = ForwardState(daemons, StartupGracePeriod(startedAtMillis = 0)),
+            state = FakeDaemon.state(daemons),
             thread = time.thread,
             log = log,
             random = Random(1),
--- a/forward/src/test/kotlin/org/bulrushtack/forward/placement/PlacementKnowledgeTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/placement/PlacementKnowledgeTest.kt
@@ -4,8 +4,7 @@
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
-import org.bulrushtack.core.daemon.StartupGracePeriod
-import org.bulrushtack.forward.store.ForwardState
+import org.bulrushtack.forward.testing.FakeDaemon
 
 /** Guards against early refusals by a daemon that has not heard of the placements of others. */
 class PlacementKnowledgeTest : AnnotationSpec() {
@@ -13,7 +12,7 @@
         DaemonInfo(name, "life", "a", "$name:7340", "$name:80", rank, ready = true, leaving = false)
 
     private fun knowledge(daemons: DaemonTable = DaemonTable(info("vm-2", rank = 2))) =
-        PlacementKnowledge(ForwardState(daemons, StartupGracePeriod(startedAtMillis = 0)))
+        PlacementKnowledge(FakeDaemon.state(daemons))
 
     @Test
     fun `a placement leader that has just started does not know all placements`() {
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeAtMost
+import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.testing.FakeFollowers
 
@@ -75,6 +76,19 @@
         system.callsIn(OUTAGE_MILLIS) shouldBeAtMost calm + TRIES_OF_THE_FIRST
     }
 
+    // Guards against a reader that goes back to one topic alone, so that another daemon's end is noticed too late.
+    @Test
+    fun `the first daemon reads all topics again soon after it was turned away`() =
+        forEachSystem(SIZES - SINGLE) { system, _ ->
+            system.store.refuses = { it == 0 }
+            system.advance(CALM_MILLIS)
+            system.store.refuses = { false }
+
+            system.advance(CALM_MILLIS)
+
+            system.store.lastReader shouldBe 0
+        }
+
     // Guards against a topic that cannot be decoded and keeps all daemons from reading the others.
     @Test
     fun `a topic that can't be read delays no other one`() = forEachSystem { system, daemons ->
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeDaemon.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeDaemon.kt
@@ -5,11 +5,13 @@
 import org.bulrushtack.core.daemon.StartupGracePeriod
 import org.bulrushtack.core.quarantine.PromptQuarantine
 import org.bulrushtack.core.store.RecordStore
+import org.bulrushtack.core.store.StoreRecordDecoder
 import org.bulrushtack.core.store.StoreUpdate
 import org.bulrushtack.forward.log.EventLogs
 import org.bulrushtack.forward.quarantine.CrashRecordWriter
 import org.bulrushtack.forward.quarantine.CrashReports
 import org.bulrushtack.forward.store.ForwardState
+import org.bulrushtack.forward.store.LapsedEntryPolicy
 import org.bulrushtack.forward.store.PeerRecords
 import org.bulrushtack.forward.store.StoreReplica
 
@@ -30,12 +32,25 @@
     /** The table of daemon [number], which knows no other one. */
     fun table(number: Int) = DaemonTable(info(number))
 
-    /** The replica of the daemon with the table [daemons], which can't decode any record. */
-    fun replica(daemons: DaemonTable, store: RecordStore, time: FakeTime): StoreReplica {
+    /** The shared state of the daemon with the table [daemons]. */
+    fun state(daemons: DaemonTable) = ForwardState(
+        daemons = daemons,
+        startupGracePeriod = StartupGracePeriod(startedAtMillis = 0),
+        lapses = LapsedEntryPolicy(heartbeatMillis = HEARTBEAT_MILLIS),
+    )
+
+    /** The replica of the daemon with the table [daemons], which can't decode any record unless [decoder] can. */
+    fun replica(
+        daemons: DaemonTable,
+        store: RecordStore,
+        time: FakeTime,
+        state: ForwardState = state(daemons),
+        decoder: StoreRecordDecoder = StoreRecordDecoder { _, _ -> StoreUpdate.Irrelevant },
+    ): StoreReplica {
         val log = EventLogs(time).forComponent("knowledge")
         return StoreReplica(
-            state = ForwardState(daemons, StartupGracePeriod(startedAtMillis = 0)),
-            decoder = { _, _ -> StoreUpdate.Irrelevant },
+            state = state,
+            decoder = decoder,
             peers = PeerRecords(daemons = daemons, log = log),
             crashReports = CrashReports(
                 quarantine = PromptQuarantine(),
@@ -49,4 +64,6 @@
             log = log,
         )
     }
+
+    private const val HEARTBEAT_MILLIS = 1_200L
 }
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
@@ -1,9 +1,12 @@
 package org.bulrushtack.forward.testing
 
+import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.store.OutageReadSchedule
 import org.bulrushtack.core.store.ReadTurn
 import org.bulrushtack.core.store.RecordBatch
+import org.bulrushtack.core.store.StoreRecord
 import org.bulrushtack.core.store.StoreTopic
+import org.bulrushtack.core.store.StoreUpdate
 import org.bulrushtack.forward.ForwardMetrics
 import org.bulrushtack.forward.log.EventLogs
 import org.bulrushtack.forward.store.StoreFollower
@@ -23,6 +26,18 @@
     val store = FakeSharedStore(time)
     private val daemons = (0 until count).map { Daemon(it) }
 
+    /** Whether the daemon with this number does nothing, as one that is frozen or killed. */
+    var isStopped: (number: Int) -> Boolean = { false }
+
+    /** The numbers of the daemons that send requests to the server [id]. */
+    fun usersOf(id: String): List<Int> = daemons.filter { it.uses(id) }.map { it.number }
+
+    /** Writes the entry of the backend server [id]. */
+    fun register(id: String): Long = store.append(StoreTopic.BACKEND_SERVERS, key = id, value = byteArrayOf(1))
+
+    /** Removes the entry of the backend server [id]. */
+    fun remove(id: String): Long = store.append(StoreTopic.BACKEND_SERVERS, key = id, value = null)
+
     /** Runs all daemons for [millis]. */
     fun advance(millis: Int) = repeat(millis) {
         time.advance(1)
@@ -40,12 +55,15 @@
     }
 
     private inner class Daemon(
-        private val number: Int,
+        val number: Int,
     ) {
         private val phaseMillis = random.nextInt(SYNC_MILLIS)
         private var pulls = false
+        private var stoppedMillis = 0
         private val client = store.client(number)
-        val replica = FakeDaemon.replica(FakeDaemon.table(number), client, time)
+        private val table = FakeDaemon.table(number)
+        private val state = FakeDaemon.state(table)
+        val replica = FakeDaemon.replica(table, client, time, state, decoder = ::decode)
         private val follower = StoreFollower(
             store = client,
             replica = replica,
@@ -55,14 +73,21 @@
             log = logs.forComponent("store"),
         ).also { it.onRead = ::sync }
 
+        fun uses(id: String) = state.fleet.usable(id, time.nowMillis()) != null
+
         fun run(nowMillis: Long) {
-            if ((nowMillis + phaseMillis) % TICK_MILLIS == 0L) follower.tick(isReader = number == 0)
+            stoppedMillis = if (isStopped(number)) stoppedMillis + 1 else 0
+            if (stoppedMillis > 0) return
+            if ((nowMillis + phaseMillis) % TICK_MILLIS == 0L) follower.tick(isReader = this === leaders().first())
             if ((nowMillis + phaseMillis) % SYNC_MILLIS == 0L) sync()
         }
 
-        private fun sync() = daemons.take(LEADERS).filter { it !== this }.forEach { leader ->
+        /** The first daemons, without those that have not responded for as long as a sync may take. */
+        private fun leaders() = daemons.filter { it.stoppedMillis < UNRESPONSIVE_MILLIS }.take(LEADERS)
+
+        private fun sync() = leaders().filter { it !== this && it.stoppedMillis == 0 }.forEach { leader ->
             val isAhead = StoreTopic.entries.any {
-                val isFirst = leader === daemons.first()
+                val isFirst = leader === leaders().first()
                 leader.replica.isBehind(it, replica.endOffset(it), replica.ageMillis(it), isFirst)
             }
             copyFrom(leader)
@@ -87,10 +112,28 @@
         }
     }
 
+    private fun decode(topic: StoreTopic, record: StoreRecord): StoreUpdate = when {
+        topic != StoreTopic.BACKEND_SERVERS -> StoreUpdate.Irrelevant
+        record.value == null -> StoreUpdate.ServerRemoved(record.key)
+        else -> StoreUpdate.ServerUpdated(
+            BackendServerEntry(
+                id = record.key,
+                service = "plain",
+                address = "10.1.0.1:80",
+                dataCentre = "a",
+                slots = 1,
+                leaving = false,
+                coldMillis = 0,
+                startedAtMillis = 1,
+            ),
+        )
+    }
+
     private companion object {
         const val TICK_MILLIS = 100
         const val SYNC_MILLIS = 400
         const val LEADERS = 2
+        const val UNRESPONSIVE_MILLIS = 750
 
         /** Between two data centres. */
         const val ROUND_TRIP_MILLIS = 60L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeSharedStore.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeSharedStore.kt
@@ -21,6 +21,16 @@
     /** Whether calls of the client with this number are refused. */
     var refuses: (client: Int) -> Boolean = { false }
 
+    /** Whether calls of the client with this number get no response until their time limit. */
+    var isSilentTo: (client: Int) -> Boolean = { false }
+
+    /** How long a call of the client with this number takes. */
+    var latencyMillis: (client: Int) -> Long = { LATENCY_MILLIS }
+
+    /** The client that last read the entries of the backend servers. */
+    var lastReader = 0
+        private set
+
     /** The topic of which no call succeeds. */
     var brokenTopic: StoreTopic? = null
 
@@ -29,9 +39,12 @@
         private set
 
     /** Appends a record and returns the offset that follows it. */
-    fun append(topic: StoreTopic): Long {
+    fun append(topic: StoreTopic): Long = append(topic, key = "key", value = byteArrayOf(1))
+
+    /** Appends a record of [key] and returns the offset that follows it. A record without a [value] deletes the key. */
+    fun append(topic: StoreTopic, key: String, value: ByteArray?): Long {
         val list = records.getValue(topic)
-        list.add(StoreRecord(key = "key", offset = list.size.toLong(), value = byteArrayOf(1)))
+        list.add(StoreRecord(key = key, offset = list.size.toLong(), value = value))
         return list.size.toLong()
     }
 
@@ -59,15 +72,25 @@
         private fun <T> respond(topic: StoreTopic, call: () -> T): CompletableFuture<Either<PlatformFailure, T>> {
             val response = CompletableFuture<Either<PlatformFailure, T>>()
             calls += 1
-            time.thread.schedule(LATENCY_MILLIS) {
-                val isRefused = refuses(number) || topic == brokenTopic
-                response.complete(if (isRefused) PlatformFailure("status 503").left() else call().right())
+            if (isSilentTo(number)) {
+                time.thread.schedule(TIMEOUT_MILLIS) { response.complete(PlatformFailure("timed out").left()) }
+            } else {
+                time.thread.schedule(latencyMillis(number)) { response.complete(result(topic, call)) }
             }
             return response
         }
+
+        private fun <T> result(topic: StoreTopic, call: () -> T): Either<PlatformFailure, T> {
+            val isRefused = refuses(number) || topic == brokenTopic
+            if (!isRefused && topic == StoreTopic.BACKEND_SERVERS) lastReader = number
+            return if (isRefused) PlatformFailure("status 503").left() else call().right()
+        }
     }
 
     private companion object {
         const val LATENCY_MILLIS = 4L
+
+        /** The limit of the client of the store. */
+        const val TIMEOUT_MILLIS = 800L
     }
 }
