Count each lifetime of a crashed server, not its id

Cause: crashes were counted by the id of the server, so that further ones under the same id replaced the first, and the part never got the four crashes that are asked for.

Change: ServerLifetime, the id with the start that the server's entry gives (born), taken when the request is sent, for the engines that help with a prompt as well. Records of crashes are named for it.

PromptQuarantineTest also got a draw of data centres that go dark, which passes before and after.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -36,6 +36,10 @@
     public fun usableOf(service: String, nowMillis: Long): List<BackendServerState> =
         servers.values.filter { it.entry.service == service && isUsable(state = it, nowMillis = nowMillis) }
 
+    /** The lifetime of [id] that is registered, or was last. */
+    public fun lifetime(id: String): ServerLifetime =
+        ServerLifetime(serverId = id, startedAtMillis = servers[id]?.entry?.startedAtMillis ?: 0)
+
     /** The servers of [service] whose entries are stored, including those that are leaving. */
     public fun storedOf(service: String): List<BackendServerState> =
         servers.values.filter { it.entry.service == service && it.usableUntilMillis == null }
--- a/core/src/main/kotlin/org/bulrushtack/core/quarantine/CrashedServer.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/quarantine/CrashedServer.kt
@@ -1,14 +1,14 @@
 package org.bulrushtack.core.quarantine
 
 /**
- * A backend server that crashed under requests that it had not answered yet.
+ * A lifetime of a backend server that ended under requests that it had not answered yet.
  *
- * @property serverId the server's id; a server that starts again has a new one
+ * @property lifetimeId identifies the lifetime; a server that starts again begins another one, also under the same id
  * @property suspects the prompt parts of those requests that no server is known to have answered
  * @property atMillis when this daemon last learned of a request that the server crashed under
  */
 public data class CrashedServer(
-    val serverId: String,
+    val lifetimeId: String,
     val suspects: Set<String>,
     val atMillis: Long,
 )
--- a/core/src/main/kotlin/org/bulrushtack/core/quarantine/PromptQuarantine.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/quarantine/PromptQuarantine.kt
@@ -11,22 +11,23 @@
     private var suspects: Set<String> = emptySet()
     private val answeredAtMillis = LinkedHashMap<String, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true)
 
-    /** The ids of the servers whose crashes have suspects. */
-    public val crashedServers: Set<String> get() = crashes.keys
+    /** The ids of the lifetimes whose ends have suspects. */
+    public val crashedLifetimes: Set<String> get() = crashes.keys
 
     /** The groups of parts that crashes point to, the ones with the most crashes first; their time may be over. */
     public var groups: List<QuarantinedGroup> = emptyList()
         private set
 
     /**
-     * Records that [serverId] ended before it wrote an answer to a request with [parts]. Returns the parts that are
-     * suspected: those without a recent answer.
+     * Records that the lifetime [lifetimeId] of a server ended before it wrote an answer to a request with [parts].
+     * Returns the parts that are suspected: those without a recent answer.
      */
-    public fun recordCrash(serverId: String, parts: Set<String>, nowMillis: Long): Set<String> {
+    public fun recordCrash(lifetimeId: String, parts: Set<String>, nowMillis: Long): Set<String> {
         val suspects = parts.filterTo(HashSet()) { !hasRecentAnswer(it, nowMillis) }
         if (suspects.isNotEmpty()) {
-            val known = crashes.remove(serverId)?.suspects.orEmpty()
-            crashes[serverId] = CrashedServer(serverId = serverId, suspects = known + suspects, atMillis = nowMillis)
+            val known = crashes.remove(lifetimeId)?.suspects.orEmpty()
+            crashes[lifetimeId] =
+                CrashedServer(lifetimeId = lifetimeId, suspects = known + suspects, atMillis = nowMillis)
             while (crashes.size > MAXIMUM_CRASHES) crashes.remove(crashes.keys.first())
             updateGroups()
         }
--- a/core/src/test/kotlin/org/bulrushtack/core/quarantine/PromptQuarantineTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/quarantine/PromptQuarantineTest.kt
@@ -88,7 +88,7 @@
 
         testSubject.expire(nowMillis)
 
-        testSubject.crashedServers shouldBe emptySet()
+        testSubject.crashedLifetimes shouldBe emptySet()
         crash(4, "bad")
         isRefused("bad") shouldBe false
     }
@@ -137,6 +137,31 @@
         }
     }
 
+    /** Each prompt waits on one of 18 servers; now and then all six of a data centre go dark under those they have. */
+    @Test
+    fun `a data centre that goes dark under the prompts it has quarantines next to nothing`() {
+        repeat(DRAWS) { draw ->
+            createQuarantine()
+            val random = Random(draw)
+            val waiting = List(SERVERS) { ArrayDeque<Set<String>>() }
+            var refused = 0
+            repeat(REQUESTS) { number ->
+                nowMillis += random.nextLong(REQUEST_INTERVAL_MILLIS)
+                val parts = setOf("common", "subject-${random.nextInt(SUBJECTS)}")
+                if (isRefused(*parts.toTypedArray())) refused += 1 else waiting[random.nextInt(SERVERS)].add(parts)
+                waiting.filter { it.size > WAITING }.forEach { answer(it.removeFirst()) }
+                if (number % DARK_ONE_IN == DARK_ONE_IN - 1) {
+                    val dark = waiting.drop(random.nextInt(DATA_CENTRES) * DARK_SERVERS).take(DARK_SERVERS)
+                    dark.forEachIndexed { server, prompts ->
+                        prompts.forEach { testSubject.recordCrash("i-$server:$number", it, nowMillis) }
+                        prompts.clear()
+                    }
+                }
+            }
+            refused shouldBeAtMost REQUESTS / SOUND_REFUSED_ONE_IN
+        }
+    }
+
     private fun answer(parts: Set<String>) {
         testSubject.recordAnswer(parts, nowMillis)
     }
@@ -155,6 +180,11 @@
         const val BAD_ONE_IN = 8
         const val CRASH_ONE_IN = 20
         const val BYSTANDERS = 4
+        const val SERVERS = 18
+        const val DATA_CENTRES = 3
+        const val DARK_SERVERS = SERVERS / DATA_CENTRES
+        const val DARK_ONE_IN = 100
+        const val WAITING = 2
         const val REQUEST_INTERVAL_MILLIS = 100L
         const val MAXIMUM_CRASHES = 8
         const val SOUND_REFUSED_ONE_IN = 100
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -148,6 +148,8 @@
             onFinished = { finish(it, attributeToServer = true) },
         )
         send = backendSend
+        val serverIds = listOf(target.serverId) + target.helpers.map { it.serverId }
+        crashObserver.onSent(serverIds.map { dependencies.state.fleet.lifetime(it) })
         val request = dependencies.codec.backendRequest(context.request, target.address, head)
         backendSend.start(
             client = dependencies.client,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashRecord.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashRecord.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.quarantine
 
+import org.bulrushtack.core.fleet.ServerLifetime
 import org.bulrushtack.core.store.StoreRecord
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -13,15 +14,15 @@
     val writerId: String
 
     /**
-     * The process [writerId] saw [serverId] crash under a request with [suspects]: parts on which it knows no recent
-     * answer.
+     * The process [writerId] saw the lifetime [lifetimeId] of a server end under a request with [suspects]: parts on
+     * which it knows no recent answer.
      */
     data class Crash(
-        val serverId: String,
+        val lifetimeId: String,
         override val writerId: String,
         val suspects: Set<String>,
     ) : CrashRecord {
-        override val key: String get() = "$CRASH_PREFIX$serverId$SEPARATOR$writerId"
+        override val key: String get() = "$CRASH_PREFIX$lifetimeId$SEPARATOR$writerId"
         override val value: ByteArray get() = suspects.joinToString("\n").encodeToByteArray()
     }
 
@@ -35,8 +36,9 @@
     }
 
     companion object {
-        /** The id by which records name the server [id]: its own, or a digest of one that is too long for a key. */
-        fun serverId(id: String): String = if (id.length <= MAXIMUM_ID_LENGTH) id else digest(id)
+        /** The id by which records name [lifetime]; a digest if it is too long for a key. */
+        fun lifetimeId(lifetime: ServerLifetime): String =
+            lifetime.toString().let { if (it.length <= MAXIMUM_ID_LENGTH) it else digest(it) }
 
         private fun digest(id: String): String =
             HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(id.encodeToByteArray()))
@@ -49,7 +51,7 @@
                 record.key.startsWith(ANSWER_PREFIX) ->
                     Answer(part = record.key.removePrefix(ANSWER_PREFIX), writerId = text)
                 record.key.startsWith(CRASH_PREFIX) -> Crash(
-                    serverId = crashId.substringBeforeLast(SEPARATOR),
+                    lifetimeId = crashId.substringBeforeLast(SEPARATOR),
                     writerId = crashId.substringAfterLast(SEPARATOR),
                     suspects = text.lines().filterTo(LinkedHashSet()) { it.isNotEmpty() },
                 )
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.quarantine
 
+import org.bulrushtack.core.fleet.ServerLifetime
 import org.bulrushtack.core.quarantine.PromptQuarantine
 import org.bulrushtack.core.store.StoreRecord
 import org.bulrushtack.forward.ForwardThread
@@ -33,15 +34,14 @@
     /** How long a request with [parts] has to stay away from servers; 0 if it may be sent now. */
     fun quarantineMillis(parts: Set<String>): Long = quarantine.remainingMillis(parts, thread.nowMillis())
 
-    /** Records that [serverId] crashed before it answered a request with [parts]. */
-    fun onCrash(serverId: String, parts: Set<String>) = recordCrash(CrashRecord.serverId(serverId), parts)
-
-    private fun recordCrash(serverId: String, parts: Set<String>) {
-        val suspects = quarantine.recordCrash(serverId, parts, thread.nowMillis())
-        val known = ownSuspects[serverId].orEmpty()
+    /** Records that [lifetime] of a server ended before it answered a request with [parts]. */
+    fun onCrash(lifetime: ServerLifetime, parts: Set<String>) {
+        val lifetimeId = CrashRecord.lifetimeId(lifetime)
+        val suspects = quarantine.recordCrash(lifetimeId, parts, thread.nowMillis())
+        val known = ownSuspects[lifetimeId].orEmpty()
         if (known.containsAll(suspects)) return
-        ownSuspects[serverId] = known + suspects
-        writer.write(CrashRecord.Crash(serverId = serverId, writerId = writerId, suspects = known + suspects))
+        ownSuspects[lifetimeId] = known + suspects
+        writer.write(CrashRecord.Crash(lifetimeId = lifetimeId, writerId = writerId, suspects = known + suspects))
         logChanges()
     }
 
@@ -74,7 +74,7 @@
     fun tick(isReader: Boolean) {
         val nowMillis = thread.nowMillis()
         quarantine.expire(nowMillis)
-        ownSuspects.keys.retainAll(quarantine.crashedServers)
+        ownSuspects.keys.retainAll(quarantine.crashedLifetimes)
         val expired = learnedAtMillis.filterValues { it + PromptQuarantine.CONFIRMED_MILLIS <= nowMillis }.keys
         if (isReader) expired.forEach { writer.delete(it) }
         learnedAtMillis.keys.removeAll(expired)
@@ -82,7 +82,7 @@
 
     /** Returns the parts that the reporting daemon suspects and that were answered here. */
     private fun suspectUnlessAnswered(crash: CrashRecord.Crash): Set<String> =
-        crash.suspects - quarantine.recordCrash(crash.serverId, crash.suspects, thread.nowMillis())
+        crash.suspects - quarantine.recordCrash(crash.lifetimeId, crash.suspects, thread.nowMillis())
 
     private fun announce(answered: Set<String>) {
         answered.filter { announcements.add(it) }.forEach { part ->
--- a/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/CrashReportsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/CrashReportsTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeAtMost
 import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.fleet.ServerLifetime
 import org.bulrushtack.core.quarantine.PromptQuarantine
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.log.EventLogs
@@ -51,6 +52,8 @@
         daemons = (1..DAEMONS).map { Daemon(name = "vm-$it", lagMillis = LAG_MILLIS * it / DAEMONS) }
     }
 
+    private fun lifetime(serverId: String, startedAtMillis: Long = 1) = ServerLifetime(serverId, startedAtMillis)
+
     private fun advance(millis: Long) = repeat(millis.toInt()) {
         time.advance(1)
         while (recordsAtMillis.size < store.records.size) recordsAtMillis.add(time.nowMillis())
@@ -76,7 +79,7 @@
                     crashes += 1
                     if (crashes == CRASHES_BEFORE_LIMIT) fifthAtMillis = time.nowMillis()
                     if (time.nowMillis() > fifthAtMillis + LIMIT_MILLIS) lateSends += 1
-                    daemon.reports.onCrash("i-$number", setOf("common", subject, "bad"))
+                    daemon.reports.onCrash(lifetime("i-$number"), setOf("common", subject, "bad"))
                 }
             }
             lateSends shouldBeAtMost LATE_SENDS_ALLOWED
@@ -87,7 +90,7 @@
     @Test
     fun `reports reach the other daemons once the store is back`() {
         store.isDown = true
-        (1..5).forEach { daemons.first().reports.onCrash("i-$it", setOf("bad")) }
+        (1..5).forEach { daemons.first().reports.onCrash(lifetime("i-$it"), setOf("bad")) }
         advance(OUTAGE_MILLIS)
         daemons.first().isRefused("bad") shouldBe true
         daemons.last().isRefused("bad") shouldBe false
@@ -101,7 +104,7 @@
     @Test
     fun `what a daemon without answers yet suspects is cleared by one that has seen them`() {
         daemons.first().reports.onAnswer(setOf("common"))
-        (1..5).forEach { daemons.last().reports.onCrash("i-$it", setOf("common")) }
+        (1..5).forEach { daemons.last().reports.onCrash(lifetime("i-$it"), setOf("common")) }
         daemons.last().isRefused("common") shouldBe true
 
         advance(LIMIT_MILLIS)
@@ -111,7 +114,7 @@
 
     @Test
     fun `an answer clears a part at all daemons`() {
-        (1..5).forEach { daemons.first().reports.onCrash("i-$it", setOf("sound")) }
+        (1..5).forEach { daemons.first().reports.onCrash(lifetime("i-$it"), setOf("sound")) }
         advance(LIMIT_MILLIS)
         daemons.all { it.isRefused("sound") } shouldBe true
 
@@ -123,7 +126,7 @@
 
     @Test
     fun `a process that starts again knows what its last one has reported`() {
-        (1..5).forEach { daemons.first().reports.onCrash("i-$it", setOf("bad")) }
+        (1..5).forEach { daemons.first().reports.onCrash(lifetime("i-$it"), setOf("bad")) }
         advance(LIMIT_MILLIS)
 
         val restarted = Daemon(name = "vm-1-again", lagMillis = 0)
@@ -134,7 +137,7 @@
 
     @Test
     fun `old records are deleted by the daemon that reads the store for all`() {
-        daemons.first().reports.onCrash("i-1", setOf("bad"))
+        daemons.first().reports.onCrash(lifetime("i-1"), setOf("bad"))
         advance(LIMIT_MILLIS)
         time.advance(PromptQuarantine.CONFIRMED_MILLIS)
 
@@ -144,12 +147,21 @@
         store.records.map { it.value == null } shouldBe listOf(false, true)
     }
 
+    // Guards against a part that is never found, as few servers come back under their ids and count as one crash each.
+    @Test
+    fun `servers that come back under the ids that they had count once for each start`() {
+        (1L..4L).forEach { daemons.first().reports.onCrash(lifetime("i-1", startedAtMillis = it), setOf("bad")) }
+        advance(LIMIT_MILLIS)
+
+        daemons.all { it.isRefused("bad") } shouldBe true
+    }
+
     // Guards against a record that the store can't take, after which no crash was reported any more.
     @Test
     fun `crashes of servers with long ids are reported like others`() {
         val ids = (1..5).map { "i-$it".padEnd(MAXIMUM_KEY_BYTES, 'x') }
 
-        ids.forEach { daemons.first().reports.onCrash(it, setOf("bad")) }
+        ids.forEach { daemons.first().reports.onCrash(lifetime(it), setOf("bad")) }
         advance(LIMIT_MILLIS)
 
         daemons.all { it.isRefused("bad") } shouldBe true
@@ -159,7 +171,7 @@
     fun `a crash that several daemons report counts once, however long the id of its server`() {
         val id = "i-1".padEnd(MAXIMUM_KEY_BYTES, 'x')
 
-        daemons.forEach { it.reports.onCrash(id, setOf("sound")) }
+        daemons.forEach { it.reports.onCrash(lifetime(id), setOf("sound")) }
         advance(LIMIT_MILLIS)
 
         daemons.any { it.isRefused("sound") } shouldBe false
@@ -167,9 +179,9 @@
 
     @Test
     fun `a record that can't be written doesn't hold up the others`() {
-        store.refusedKey = "crash/i-1/vm-1"
+        store.refusedKey = "crash/i-1:1/vm-1"
 
-        (1..6).forEach { daemons.first().reports.onCrash("i-$it", setOf("bad")) }
+        (1..6).forEach { daemons.first().reports.onCrash(lifetime("i-$it"), setOf("bad")) }
         advance(LIMIT_MILLIS)
 
         daemons.all { it.isRefused("bad") } shouldBe true
