Find servers that go dark under a prompt: ask the silent ones whether they still run

Cause: only a connection that the server closes counted as a crash. A machine that goes dark closes none; its send ended as unresponsive, at the caller's limit or with the caller, and what it had been sent was forgotten.

Change: CrashObserver has the server of a send that is silent for as long as its first event may take asked for its load, every half second, also after the send was given up or its caller left. ServerLiveness asks once for all sends of a server. It has ended if nothing listens at its address, if two requests in a row go unanswered while this daemon's records are fresh, or if another lifetime responds or is registered. A slow server responds. An ended one gets no more requests of this daemon until its entry is written again.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -10,6 +10,7 @@
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.placement.PlacementClient
 import org.bulrushtack.forward.quarantine.CrashReports
+import org.bulrushtack.forward.quarantine.ServerLiveness
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.wire.ExchangeCodec
 import org.bulrushtack.http.HttpClient
@@ -26,6 +27,7 @@
     val plainWaitPolicy: PlainWaitPolicy,
     val health: ServerHealth,
     val crashReports: CrashReports,
+    val liveness: ServerLiveness,
     val recordUsage: (workspace: String) -> Unit,
     val retryBudgets: RetryBudgets,
     val reservationClient: ReservationClient,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
@@ -23,6 +23,8 @@
     var isDone: Boolean = false
         private set
 
+    private val isRunOnce: Boolean get() = context.route.repeatability == Repeatability.ONCE
+
     /** The time since the request arrived. */
     val ageMillis: Long get() = dependencies.thread.nowMillis() - context.receivedAtMillis
 
@@ -76,8 +78,6 @@
     private fun mayReachCaller(failure: HttpMessageResponse): Boolean =
         !isRunOnce || !RefusalStatus.promisesNotRun(failure.status)
 
-    private val isRunOnce: Boolean get() = context.route.repeatability == Repeatability.ONCE
-
     private fun lostResponseKind(): ErrorKind =
         if (isRunOnce) ErrorKind.OUTCOME_UNKNOWN else ErrorKind.BACKEND_LOST
 
@@ -111,7 +111,7 @@
     }
 }
 
-private const val STATUS_OK = 200
-
 private fun statusDetail(failure: HttpMessageResponse): String =
     "The server responded with status ${failure.status} and did not state that it had not run the request."
+
+private const val STATUS_OK = 200
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.core.exchange.SendOutcome
 import org.bulrushtack.core.placement.PlacementOutcome
 import org.bulrushtack.core.route.Repeatability
+import org.bulrushtack.forward.quarantine.ObservedServer
 import org.bulrushtack.forward.wire.BackendRequestHead
 
 /** One attempt of a request: places it, reserves memory where needed, and sends the request once. */
@@ -16,7 +17,12 @@
 ) : AttemptPlacementListener {
     /** The progress of the send. */
     val progress = SendProgress(dependencies.thread, onInactive = { if (!isFinished) listener.onAttemptInactive(it) })
-    private val crashObserver = CrashObserver(reports = dependencies.crashReports, parts = context.caller.sharedParts)
+    private val crashObserver = CrashObserver(
+        reports = dependencies.crashReports,
+        liveness = dependencies.liveness,
+        thread = dependencies.thread,
+        parts = context.caller.sharedParts,
+    )
     private var placement: AttemptPlacement? = null
     private var reservations: Reservations? = null
     private var send: BackendSend? = null
@@ -51,6 +57,7 @@
     fun cancel() {
         if (isFinished) return
         isFinished = true
+        crashObserver.onCancelled()
         send?.cancel()
         progress.stop()
         reservations?.release()
@@ -65,6 +72,7 @@
 
     /** Ends the send, whose server shows no progress, with an unknown outcome. */
     fun giveUp(reason: String) {
+        crashObserver.onGivenUp()
         send?.timeOut(reason)
     }
 
@@ -148,14 +156,18 @@
             onFinished = { finish(it, attributeToServer = true) },
         )
         send = backendSend
-        val serverIds = listOf(target.serverId) + target.helpers.map { it.serverId }
-        crashObserver.onSent(serverIds.map { dependencies.state.fleet.lifetime(it) })
+        val timeoutMillis = context.firstResponseTimeoutMillis(target)
+        crashObserver.onSent(
+            sentTo = ObservedServer(dependencies.state.fleet.lifetime(target.serverId), target.address),
+            helpers = target.helpers.map { dependencies.state.fleet.lifetime(it.serverId) },
+            silenceMillis = timeoutMillis,
+        )
         val request = dependencies.codec.backendRequest(context.request, target.address, head)
         backendSend.start(
             client = dependencies.client,
             request = request.copy(maximumResponseBytes = dependencies.maximumResponseBytes()),
         )
-        progress.start(context.firstResponseTimeoutMillis(target).takeIf { isRepeatable })
+        progress.start(timeoutMillis.takeIf { isRepeatable })
     }
 
     private val isRepeatable: Boolean get() = context.route.repeatability != Repeatability.ONCE
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -53,6 +53,8 @@
 import org.bulrushtack.forward.placement.ServicePressures
 import org.bulrushtack.forward.quarantine.CrashRecordWriter
 import org.bulrushtack.forward.quarantine.CrashReports
+import org.bulrushtack.forward.quarantine.HttpServerChecker
+import org.bulrushtack.forward.quarantine.ServerLiveness
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.store.LapsedEntryPolicy
 import org.bulrushtack.forward.store.PeerRecords
@@ -227,6 +229,13 @@
         plainWaitPolicy = PlainWaitPolicy(random),
         health = health,
         crashReports = crashReports,
+        liveness = ServerLiveness(
+            checker = HttpServerChecker(codec = platform.exchangeCodec, client = client, thread = thread),
+            fleet = state.fleet,
+            isConnected = { replica.ageMillis(StoreTopic.BACKEND_SERVERS) < CONNECTED_AGE_MILLIS },
+            thread = thread,
+            log = logs.forComponent("quarantine"),
+        ),
         recordUsage = { workspace -> duties?.recordUsage(workspace) },
         retryBudgets = RetryBudgets(
             ratio = { this.settings.current.retryRatio },
@@ -329,6 +338,9 @@
 private const val SYNC_INTERVAL_MILLIS = 400L
 private const val STARTUP_SYNC_FACTOR = 2L
 
+/** A replica that is older is not refreshed any more, by the store or by other daemons. */
+private const val CONNECTED_AGE_MILLIS = 1_500L
+
 /** Spreads what several daemons announce at the same time, so that the first can spare the others. */
 private const val ANNOUNCEMENT_MILLIS_PER_DAEMON = 10L
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/wire/ExchangeCodec.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/wire/ExchangeCodec.kt
@@ -3,6 +3,7 @@
 import org.bulrushtack.http.ClientRequest
 import org.bulrushtack.http.HttpHeaderList
 import org.bulrushtack.http.HttpMessageRequest
+import org.bulrushtack.http.HttpMessageResponse
 
 /** Translates between the headers and bodies on the wire and the daemon's own types. */
 interface ExchangeCodec {
@@ -24,6 +25,9 @@
     /** Returns the request for the load of the engine at [address]. */
     fun loadReportRequest(address: String): ClientRequest
 
+    /** Parses the start of the engine that sent [report], in Unix milliseconds; null if it doesn't tell. */
+    fun reportedStartMillis(report: HttpMessageResponse): Long?
+
     /** Returns the request that releases a reservation. */
     fun reservationReleaseRequest(address: String, reservationId: String): ClientRequest
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -50,8 +50,8 @@
      * Fails the exchange from this side. After a complete response this does nothing, since the connection may serve
      * another request by then.
      */
-    fun abort(reason: String) {
-        val isFirst = fail { isSent -> HttpFailure(sent = isSent, reason = reason) }
+    fun abort(reason: String, connectionRefused: Boolean = false) {
+        val isFirst = fail { HttpFailure(sent = it, reason = reason, connectionRefused = connectionRefused) }
         if (isFirst) channel?.close()
     }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -10,10 +10,12 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
 import java.io.ByteArrayOutputStream
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
@@ -55,7 +57,10 @@
 
     /** The failure to create a channel at all, as when no descriptors are left, arrives on a thread of Netty's own. */
     private fun abort(call: ClientExchange, cause: Throwable) =
-        group.next().execute { call.abort(reason = cause.cause?.toString() ?: cause.toString()) }
+        group.next().execute {
+            val isRefused = cause is ConnectException && cause !is ConnectTimeoutException
+            call.abort(reason = cause.cause?.toString() ?: cause.toString(), connectionRefused = isRefused)
+        }
 
     private fun connect(address: HostAndPort, isDedicated: Boolean): ChannelFuture = Bootstrap()
         .group(group)
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpFailure.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpFailure.kt
@@ -5,9 +5,11 @@
  *
  * @property sent whether any byte of the request can have left this process
  * @property closedByPeer whether the peer closed or reset the connection
+ * @property connectionRefused whether the peer's host refused the connection, as nothing listens at the port
  */
 public data class HttpFailure(
     val sent: Boolean,
     val reason: String,
     val closedByPeer: Boolean = false,
+    val connectionRefused: Boolean = false,
 )
--- a/http/src/test/kotlin/org/bulrushtack/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/HttpClientTest.kt
@@ -4,6 +4,8 @@
 import io.kotest.matchers.shouldBe
 import io.netty.channel.ChannelException
 import io.netty.channel.EventLoop
+import java.net.InetAddress
+import java.net.ServerSocket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -34,6 +36,22 @@
         isOnLoop shouldBe true
     }
 
+    // Guards against a server that is taken for dead, as its connections are reset.
+    @Test
+    fun `a connection is refused only where nothing listens`() {
+        val closedPort = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        val testSubject = HttpClient(group)
+
+        val refused = testSubject.exchange(ClientRequest(method = "GET", address = "127.0.0.1:$closedPort", path = "/"))
+        val reset = RawServer { it.setSoLinger(true, 0) }.use { server ->
+            testSubject.exchange(ClientRequest(method = "GET", address = server.address, path = "/"))
+                .get(LIMIT_SECONDS, TimeUnit.SECONDS)
+        }
+
+        refused.get(LIMIT_SECONDS, TimeUnit.SECONDS).leftOrNull()?.connectionRefused shouldBe true
+        reset.leftOrNull()?.connectionRefused shouldBe false
+    }
+
     private companion object {
         const val LIMIT_SECONDS = 10L
     }
