Tell a replaced server by its address too, and go on using one that is only silent

Two gaps in the check of silent servers, found while reading it. An engine whose report doesn't tell its start could be taken for the one before it at the same address: an entry of another server with that address now counts as its end. And a slow server that leaves two checks unanswered was not used until its entry was written again; now that holds only where nothing listens at its address.

Measured: ServerLivenessTest has a test of each.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -10,4 +10,8 @@
     val entry: BackendServerEntry,
     val coldUntilMillis: Long,
     val usableUntilMillis: Long? = null,
-)
+) {
+    /** Whether the server may receive requests at [nowMillis], unless its data centre is taken out of service. */
+    internal fun isUsable(nowMillis: Long): Boolean =
+        !entry.leaving && (usableUntilMillis == null || nowMillis < usableUntilMillis)
+}
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -30,16 +30,26 @@
 
     /** The server with [id] if it may receive requests at [nowMillis], else null. */
     public fun usable(id: String, nowMillis: Long): BackendServerState? =
-        servers[id]?.takeIf { isUsable(state = it, nowMillis = nowMillis) }
+        servers[id]?.takeIf { it.isUsable(nowMillis) && it.entry.dataCentre !in takenOut }
 
     /** The servers of [service] that may receive requests at [nowMillis]. */
-    public fun usableOf(service: String, nowMillis: Long): List<BackendServerState> =
-        servers.values.filter { it.entry.service == service && isUsable(state = it, nowMillis = nowMillis) }
+    public fun usableOf(service: String, nowMillis: Long): List<BackendServerState> = servers.values.filter {
+        it.entry.service == service && it.isUsable(nowMillis) && it.entry.dataCentre !in takenOut
+    }
 
     /** The lifetime of [id] that is registered, or was last. */
     public fun lifetime(id: String): ServerLifetime =
         ServerLifetime(serverId = id, startedAtMillis = servers[id]?.entry?.startedAtMillis ?: 0)
 
+    /** Whether another lifetime than [lifetime] is registered under its id, or another server at its [address]. */
+    public fun isReplaced(lifetime: ServerLifetime, address: String): Boolean {
+        val startedAtMillis = lifetime(lifetime.serverId).startedAtMillis
+        val isRestarted = lifetime.isOther(startedAtMillis)
+        return isRestarted || servers.values.any {
+            it.entry.address == address && it.entry.id != lifetime.serverId && it.usableUntilMillis == null
+        }
+    }
+
     /** The servers of [service] whose entries are stored, including those that are leaving. */
     public fun storedOf(service: String): List<BackendServerState> =
         servers.values.filter { it.entry.service == service && it.usableUntilMillis == null }
@@ -53,11 +63,6 @@
 
     /** The number of known servers, usable or not. */
     public val size: Int get() = servers.size
-
-    private fun isUsable(state: BackendServerState, nowMillis: Long): Boolean {
-        val expired = state.usableUntilMillis != null && nowMillis >= state.usableUntilMillis
-        return !expired && !state.entry.leaving && state.entry.dataCentre !in takenOut
-    }
 }
 
 /** Long enough for the last requests of an expired server to complete. */
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/ServerLifetime.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/ServerLifetime.kt
@@ -10,6 +10,10 @@
     val serverId: String,
     val startedAtMillis: Long,
 ) {
+    /** Whether a start at [otherStartedAtMillis] is that of another lifetime; not if either is unknown. */
+    public fun isOther(otherStartedAtMillis: Long): Boolean =
+        startedAtMillis > 0 && otherStartedAtMillis > 0 && startedAtMillis != otherStartedAtMillis
+
     /** Identifies the lifetime in a record. */
     override fun toString(): String = "$serverId:$startedAtMillis"
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/ServerLiveness.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/ServerLiveness.kt
@@ -9,8 +9,8 @@
 /**
  * Finds out whether backend servers that are silent have ended, however they ended: a machine without power closes no
  * connection, and its entry may stay for a while. A server that is only slow still responds when it is asked. Each
- * server is asked once for all sends that wait for it. One that has ended gets no requests until its entry is written
- * again.
+ * server is asked once for all sends that wait for it. One at whose address nothing listens gets no requests until its
+ * entry is written again.
  *
  * @param isConnected whether this daemon is connected with the rest of the system; otherwise silence means nothing
  */
@@ -34,7 +34,7 @@
         val known = servers.getOrPut(server.lifetime) { KnownServer() }
         known.usedAtMillis = nowMillis
         when {
-            known.hasEnded || isReplaced(server.lifetime) ->
+            known.hasEnded || isReplaced(server) ->
                 onResult(end(server, known, "another lifetime is registered"))
             known.signAtMillis + FRESH_MILLIS > nowMillis -> onResult(Liveness.ALIVE)
             else -> {
@@ -47,7 +47,7 @@
     private fun onChecked(server: ObservedServer, known: KnownServer, check: ServerCheck) {
         val result = when (check) {
             is ServerCheck.Responded -> onResponded(server, known, check)
-            ServerCheck.Refused -> end(server, known, "nothing listens at its address")
+            ServerCheck.Refused -> onRefused(server, known)
             ServerCheck.Unanswered -> onUnanswered(server, known)
         }
         val waiting = known.waiting.toList()
@@ -56,7 +56,7 @@
     }
 
     private fun onResponded(server: ObservedServer, known: KnownServer, check: ServerCheck.Responded): Liveness {
-        val isAnother = isAnother(server.lifetime, check.startedAtMillis) || isReplaced(server.lifetime)
+        val isAnother = server.lifetime.isOther(check.startedAtMillis ?: 0) || isReplaced(server)
         return if (isAnother) {
             end(server, known, "another lifetime responds")
         } else {
@@ -65,6 +65,12 @@
         }
     }
 
+    /** A silent server may be in use again before its entry is written; one at whose address nothing listens is not. */
+    private fun onRefused(server: ObservedServer, known: KnownServer): Liveness {
+        if (!isReplaced(server)) fleet.markLeaving(server.lifetime.serverId)
+        return end(server, known, "nothing listens at its address")
+    }
+
     /** One check may be lost on the way; two in a row are not, unless it is this daemon that is cut off. */
     private fun onUnanswered(server: ObservedServer, known: KnownServer): Liveness {
         known.unanswered += 1
@@ -72,11 +78,8 @@
         return if (isSilent) end(server, known, "it does not respond") else Liveness.UNKNOWN
     }
 
-    private fun isReplaced(lifetime: ServerLifetime): Boolean =
-        isAnother(lifetime, fleet.lifetime(lifetime.serverId).startedAtMillis.takeIf { it > 0 })
-
-    private fun isAnother(lifetime: ServerLifetime, startedAtMillis: Long?): Boolean =
-        lifetime.startedAtMillis > 0 && startedAtMillis != null && startedAtMillis != lifetime.startedAtMillis
+    private fun isReplaced(server: ObservedServer): Boolean =
+        fleet.isReplaced(lifetime = server.lifetime, address = server.address)
 
     private fun end(server: ObservedServer, known: KnownServer, reason: String): Liveness {
         if (!known.hasEnded) {
@@ -89,7 +92,6 @@
             )
         }
         known.hasEnded = true
-        if (!isReplaced(server.lifetime)) fleet.markLeaving(server.lifetime.serverId)
         return Liveness.ENDED
     }
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/ServerLivenessTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/ServerLivenessTest.kt
@@ -14,7 +14,7 @@
     private lateinit var time: FakeTime
     private lateinit var checker: FakeServerChecker
     private lateinit var testSubject: ServerLiveness
-    private val fleet = FleetRegion()
+    private lateinit var fleet: FleetRegion
     private var isConnected = true
     private val server = ObservedServer(
         lifetime = ServerLifetime("i-1", startedAtMillis = STARTED_AT_MILLIS),
@@ -26,6 +26,7 @@
         time = FakeTime()
         checker = FakeServerChecker(time)
         isConnected = true
+        fleet = FleetRegion()
         register(STARTED_AT_MILLIS)
         testSubject = ServerLiveness(
             checker = checker,
@@ -36,9 +37,9 @@
         )
     }
 
-    private fun register(startedAtMillis: Long) = fleet.put(
+    private fun register(startedAtMillis: Long, id: String = "i-1") = fleet.put(
         entry = BackendServerEntry(
-            id = "i-1",
+            id = id,
             service = "engine",
             address = server.address,
             dataCentre = "a",
@@ -68,7 +69,7 @@
     }
 
     @Test
-    fun `a server that has ended is not used until its entry is written again`() {
+    fun `a server at whose address nothing listens is not used until its entry is written again`() {
         checker.results[server.address] = ServerCheck.Refused
 
         find()
@@ -124,6 +125,24 @@
         checker.asked shouldBe emptyList()
     }
 
+    @Test
+    fun `a server has ended when another one is registered at its address`() {
+        fleet.markRemoved("i-1", usableUntilMillis = 0)
+        register(STARTED_AT_MILLIS + 1, id = "i-2")
+
+        find() shouldBe Liveness.ENDED
+    }
+
+    // Guards against a slow server that gets no requests any more.
+    @Test
+    fun `a server that does not respond may still be used`() {
+        checker.results[server.address] = ServerCheck.Unanswered
+
+        find(times = 2) shouldBe Liveness.ENDED
+
+        fleet.usable("i-1", time.nowMillis()) shouldNotBe null
+    }
+
     @Test
     fun `a server whose entry is gone is asked like others`() {
         fleet.markRemoved("i-1", usableUntilMillis = 0)
