--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/CrashObserver.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/CrashObserver.kt
@@ -43,9 +43,7 @@
     }
 
     /** Records that the send is given up as the server is silent; its result follows. */
-    fun onGivenUp() {
-        phase = Phase.ABANDONED
-    }
+    fun onGivenUp() = abandon()
 
     /** Records the [result] of the send. */
     fun onFinished(result: SendResult) {
@@ -58,7 +56,7 @@
 
     /** Records that the send was cancelled without a result; its server is asked on only if it was silent before. */
     fun onCancelled() {
-        if (checks == 0) settle() else phase = Phase.ABANDONED
+        if (checks == 0) settle() else abandon()
     }
 
     /** Asks the server, and asks again while it may still crash under the request. */
@@ -80,6 +78,10 @@
         settle()
     }
 
+    private fun abandon() {
+        if (phase == Phase.WAITING) phase = Phase.ABANDONED
+    }
+
     private fun settle() {
         phase = Phase.SETTLED
         timer.stop()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -107,6 +107,7 @@
                 if (unavailable) log.info("The platform's store is available again.", LogField("topic", topic))
                 unavailable = false
                 schedule.recordSuccess()
+                // The store responds again: the daemon that reads for all goes back to the other topics as well.
                 polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
                 if (!isReader) onRead()
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -20,7 +20,7 @@
     private val listener: ResponseListener,
     private val onIdle: (String, Channel) -> Unit,
 ) : SimpleChannelInboundHandler<HttpObject>(), ClientCall {
-    private val progress = SendProgress()
+    private val progress = RequestProgress()
 
     @Volatile
     private var channel: Channel? = null
--- a/http/src/main/kotlin/org/bulrushtack/http/SendProgress.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/RequestProgress.kt
@@ -3,7 +3,7 @@
 import java.util.concurrent.atomic.AtomicReference
 
 /** Whether one request was sent and whether it is finished. One thread may send it while another one ends it. */
-internal class SendProgress {
+internal class RequestProgress {
     private val step = AtomicReference(Step.CONNECTING)
 
     /** Whether any byte of the request may have left this process. */
