Check the status line of each response before the codec reads it

What callers saw: a server in trouble responded with the status 000, and the caller of a booking got that as the server's answer, as "HTTP/1.1 0 Unknown Status (0)".

Cause: Netty's codec makes a number of whatever stands where the status should, and of the line around it: 000, +200, 0200, blanks and control bytes in front of the version, another protocol's name. Nothing behind it looked again, and a status outside of 200 to 299 is a failure of the server's that its caller may get.

Change: ResponseSyntaxHandler reads the bytes of each response in front of the codec, on every connection of HttpClient, which all requests to servers, the store, the duty address and other daemons' HTTP ports use. A status line is "HTTP/1.", a digit, a blank, three digits of 100 to 599 and a reason without control bytes. Anything else is no response: the request fails as sent, which leaves its outcome as unknown as after a cut, and the connection is closed. The log names the server and the rule that was broken, never bytes of the response. Failures of the codec itself are logged in the same way.

A safe request and a stream were served by another server before, too; that test was green and stays.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -102,10 +102,12 @@
 
     /** What the connections of this process hold and may hold. */
     val budget = ResourceBudget(limits = LiveBudgetLimits(resourceLimits, state)::current, clientReports::record)
+    private val malformedResponses = MalformedResponseLog(logs.forComponent("responses"))
     private val client = HttpClient(
         group = group,
         connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS,
         channelFactory = { budget.openOutgoing(NioSocketChannel()) },
+        malformedResponses = malformedResponses,
     )
 
     /** The store is reached also when callers use up the sockets. */
@@ -113,6 +115,7 @@
         group = group,
         connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS,
         channelFactory = { budget.countOutgoing(NioSocketChannel()) },
+        malformedResponses = malformedResponses,
     )
     private val store = platform.store(client = storeClient, address = settings.storeAddress.toString())
     val crashReports = CrashReports(
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
+import org.bulrushtack.http.syntax.MalformedResponseException
+import org.bulrushtack.http.syntax.ResponseSyntaxHandler
 import java.io.IOException
 
 /** One request on one connection; [onIdle] gets the connection back after a complete response. */
@@ -19,6 +21,7 @@
     private val request: ClientRequest,
     private val listener: ResponseListener,
     private val onIdle: (String, Channel) -> Unit,
+    private val malformedResponses: MalformedResponseObserver = LoggingMalformedResponseObserver,
 ) : SimpleChannelInboundHandler<HttpObject>(), ClientCall {
     private val progress = RequestProgress()
 
@@ -36,6 +39,7 @@
         }
         connected.pipeline().get(IdleConnectionHandler::class.java)?.let { connected.pipeline().remove(it) }
         connected.pipeline().get(ResponseSizeLimiter::class.java)?.expectHead()
+        connected.pipeline().get(ResponseSyntaxHandler::class.java)?.expectResponse()
         connected.pipeline().addLast(this)
         connected.writeAndFlush(ClientMessage.of(request)).addListener { written ->
             if (!written.isSuccess) abort(reason = "the request could not be sent: ${written.cause()}")
@@ -63,7 +67,9 @@
         if (progress.isFinished) return
         if (message is HttpResponse) informational = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
         when {
-            message.decoderResult().isFailure -> abort("malformed answer")
+            message.decoderResult().isFailure -> throw MalformedResponseException(
+                breach = "the codec fails with ${message.decoderResult().cause().javaClass.simpleName}",
+            )
             message is HttpResponse && message.status() == HttpResponseStatus.SWITCHING_PROTOCOLS ->
                 abort("the server switches to another protocol")
             message is HttpResponse && declaredBytes(request.method, message) > request.maximumResponseBytes ->
@@ -79,7 +85,10 @@
 
     @Deprecated("Netty's own deprecation of the inherited function")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail { HttpFailure(sent = true, reason = cause.toString(), closedByPeer = cause is IOException) }
+        val isMalformed = cause is MalformedResponseException
+        val reason = if (isMalformed) "malformed response: ${cause.message}" else cause.toString()
+        val isFirst = fail { HttpFailure(sent = true, reason = reason, closedByPeer = cause is IOException) }
+        if (isFirst && isMalformed) malformedResponses.onMalformedResponse(request.address, cause.message.orEmpty())
         context.close()
     }
 
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import org.bulrushtack.http.syntax.ResponseSyntaxHandler
 import java.io.ByteArrayOutputStream
 import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
@@ -21,17 +22,26 @@
 import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
 
-/** An HTTP/1.1 client that pools idle connections for requests that need no dedicated one. */
+/**
+ * An HTTP/1.1 client that pools idle connections for requests that need no dedicated one. A response that is malformed
+ * is no response: its request fails with an unknown outcome, and its connection is closed.
+ */
 public class HttpClient(
     private val group: EventLoopGroup,
     private val connectTimeoutMillis: Int = DEFAULT_CONNECT_TIMEOUT_MILLIS,
     private val channelFactory: ChannelFactory<out Channel> = ChannelFactory { NioSocketChannel() },
+    private val malformedResponses: MalformedResponseObserver = LoggingMalformedResponseObserver,
 ) {
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
 
     /** Sends [request] and passes the response to [listener]. */
     public fun send(request: ClientRequest, listener: ResponseListener): ClientCall {
-        val call = ClientExchange(request = request, listener = listener, onIdle = ::returnIdle)
+        val call = ClientExchange(
+            request = request,
+            listener = listener,
+            onIdle = ::returnIdle,
+            malformedResponses = malformedResponses,
+        )
         val pooled = if (request.dedicatedConnection) null else takeIdle(request.address)
         val address = HostAndPort.parse(request.address)
         when {
@@ -70,7 +80,10 @@
         .option(ChannelOption.RECVBUF_ALLOCATOR, if (isDedicated) FAIR_READS else null)
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(ResponseSizeLimiter()).addLast(HttpClientCodec())
+                channel.pipeline()
+                    .addLast(ResponseSizeLimiter())
+                    .addLast(ResponseSyntaxHandler())
+                    .addLast(HttpClientCodec())
             }
         })
         .connect(address.host, address.port)
--- /dev/null
+++ b/http/src/main/kotlin/org/bulrushtack/http/syntax/StatusLine.kt
@@ -0,0 +1,23 @@
+package org.bulrushtack.http.syntax
+
+/** The status line of a response (RFC 9112, section 4). */
+internal data class StatusLine(
+    val minorVersion: Int,
+    val status: Int,
+) {
+    /** Whether another response follows this one. */
+    val isInformational: Boolean get() = status in INFORMATIONAL
+
+    companion object {
+        /** Reads [line], which has no line end; returns null if it is malformed. */
+        fun parse(line: String): StatusLine? = PATTERN.matchEntire(line)?.destructured?.let { (minorVersion, status) ->
+            StatusLine(minorVersion = minorVersion.toInt(), status = status.toInt())
+        }
+    }
+}
+
+/** Servers that send no reason often leave out the blank before it too. */
+private val PATTERN = Regex("""HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?""")
+
+@Suppress("MagicNumber")
+private val INFORMATIONAL = 100..199
