--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -39,7 +39,8 @@
         }
         connected.pipeline().get(IdleConnectionHandler::class.java)?.let { connected.pipeline().remove(it) }
         connected.pipeline().get(ResponseSizeLimiter::class.java)?.expectHead()
-        connected.pipeline().get(ResponseSyntaxHandler::class.java)?.expectResponse()
+        connected.pipeline().get(ResponseSyntaxHandler::class.java)
+            ?.expectResponse(isHeadRequest = request.method == HttpMethod.HEAD.name())
         connected.pipeline().addLast(this)
         connected.writeAndFlush(ClientMessage.of(request)).addListener { written ->
             if (!written.isSuccess) abort(reason = "the request could not be sent: ${written.cause()}")
@@ -111,7 +112,8 @@
 
     private fun complete(context: ChannelHandlerContext) {
         if (progress.finish() == null) return
-        if (keepAlive && !request.dedicatedConnection) {
+        val isReusable = context.pipeline().get(ResponseSyntaxHandler::class.java)?.isReusable ?: true
+        if (isReusable && keepAlive && !request.dedicatedConnection) {
             context.pipeline().replace(this, null, IdleConnectionHandler())
             onIdle(request.address, context.channel())
         } else {
