Read responses that come during an upload to their end, whichever of read and write fails first

What callers saw elsewhere: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection, and the part counted as a complete answer. What it found instead is the opposite: a complete response with a length was lost, or harmed the next request.

Cause: Netty closes a connection on a failed write at once, with whatever has arrived unread, and handles writes before reads. And a pooled connection went back to the pool with the rest of the upload unwritten, so that the next request waited behind it or failed with it. That a response without a length was never taken as whole rested on the order in which the transport reports the failed write and the end of the connection.

Change: a connection stays open after a failed write, and the exchange ends with what is left to read: a complete response is believed, and anything else fails as a connection that the server closed, as when the read fails first. The end of a connection completes no response while a part of the request is unwritten, whatever the order of the two. A connection with such a part serves no other request.

--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -29,6 +29,10 @@
     private var channel: Channel? = null
     private var keepAlive = true
     private var informational = false
+    private var isWritten = false
+
+    @Volatile
+    private var writeFailure: String? = null
 
     /** Sends the request; must run on the connection's thread. */
     fun start(connected: Channel) {
@@ -43,7 +47,14 @@
             ?.expectResponse(isHeadRequest = request.method == HttpMethod.HEAD.name())
         connected.pipeline().addLast(this)
         connected.writeAndFlush(ClientMessage.of(request)).addListener { written ->
-            if (!written.isSuccess) abort(reason = "the request could not be sent: ${written.cause()}")
+            val reason = "the request could not be sent: ${written.cause()}"
+            isWritten = written.isSuccess
+            when {
+                isWritten -> Unit
+                // The server may have responded before it stopped reading; what has arrived is still to be read.
+                written.cause() is IOException && connected.config().isAutoRead -> writeFailure = reason
+                else -> abort(reason)
+            }
         }
     }
 
@@ -60,8 +71,9 @@
         if (isFirst) channel?.close()
     }
 
+    /** After a failed write, only what has arrived is left to read, and a pause would hide the connection's end. */
     override fun setReading(reading: Boolean) {
-        channel?.config()?.isAutoRead = reading
+        channel?.config()?.isAutoRead = reading || writeFailure != null
     }
 
     override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
@@ -80,7 +92,7 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        fail { HttpFailure(sent = true, reason = "connection closed", closedByPeer = true) }
+        fail { HttpFailure(sent = true, reason = writeFailure ?: "connection closed", closedByPeer = true) }
         super.channelInactive(context)
     }
 
@@ -110,10 +122,15 @@
         }
     }
 
+    /** A connection on which a part of the request is still to be written carries no other request. */
+    private val mayReturn: Boolean get() = keepAlive && isWritten && !request.dedicatedConnection
+
+    /** A response that ends with the connection is not complete if a part of the request is still to be written. */
     private fun complete(context: ChannelHandlerContext) {
-        if (progress.finish() == null) return
+        val isCutShort = !isWritten && !context.channel().isActive
+        if (isCutShort || progress.finish() == null) return
         val isReusable = context.pipeline().get(ResponseSyntaxHandler::class.java)?.isReusable ?: true
-        if (isReusable && keepAlive && !request.dedicatedConnection) {
+        if (isReusable && mayReturn) {
             context.pipeline().replace(this, null, IdleConnectionHandler())
             onIdle(request.address, context.channel())
         } else {
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -72,10 +72,12 @@
             call.abort(reason = cause.cause?.toString() ?: cause.toString(), connectionRefused = isRefused)
         }
 
+    /** A connection stays open after a failed write, so that a response that came before it can be read. */
     private fun connect(address: HostAndPort, isDedicated: Boolean): ChannelFuture = Bootstrap()
         .group(group)
         .channelFactory(channelFactory)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.AUTO_CLOSE, false)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
         .option(ChannelOption.RECVBUF_ALLOCATOR, if (isDedicated) FAIR_READS else null)
         .handler(object : ChannelInitializer<Channel>() {
--- a/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
@@ -11,6 +11,7 @@
 import io.netty.channel.local.LocalChannel
 import io.netty.channel.local.LocalIoHandler
 import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.util.ReferenceCountUtil
@@ -99,6 +100,28 @@
         listener.body shouldBe "whole"
     }
 
+    // Guards against a transport that reports the end of the connection before the failure of what it had to write.
+    @Test
+    fun `a response that the connection ends before the request is written is not complete`() {
+        val channel = EmbeddedChannel(WriteHolder(), HttpClientCodec())
+        val listener = FakeResponseListener()
+        ClientExchange(request, listener, onIdle = { _, _ -> }).start(channel)
+        channel.writeInbound(Unpooled.copiedBuffer("HTTP/1.1 200 OK\r\n\r\npart".toByteArray()))
+
+        channel.close()
+
+        listener.body shouldBe "part"
+        listener.isComplete shouldBe false
+        listener.failures.single().sent shouldBe true
+    }
+
+    /** Never completes a write. */
+    private class WriteHolder : ChannelOutboundHandlerAdapter() {
+        override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
     /** Records whether a message was written, and drops it. */
     private class WriteRecorder(
         private val written: AtomicBoolean,
--- a/http/src/test/kotlin/org/bulrushtack/http/FakeResponseListener.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/FakeResponseListener.kt
@@ -6,6 +6,8 @@
     val failures = mutableListOf<HttpFailure>()
     var body = ""
         private set
+    var isComplete = false
+        private set
 
     override fun onHead(status: Int, headers: HttpHeaderList) {
         statuses.add(status)
@@ -15,7 +17,9 @@
         body += bytes.decodeToString()
     }
 
-    override fun onComplete() = Unit
+    override fun onComplete() {
+        isComplete = true
+    }
 
     override fun onFailure(failure: HttpFailure) {
         failures.add(failure)
