Duty calls: believe nothing of a malformed response

Callers: the platform's duty address. A report counted as accepted, or a hold as fenced, by a response that was broken.

Cause: the status alone decides a duty call, since a body that is cut or does not end changes nothing. A response that turns out to be malformed after its head was treated in the same way.

Change: HttpFailure tells a malformed response from a cut one, and a duty call that gets one has an unknown result.

That the status of a cut response decides held before and keeps its test.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/duty/HttpDutyAddress.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/duty/HttpDutyAddress.kt
@@ -12,7 +12,8 @@
 
 /**
  * Calls the platform's duty address over HTTP, each call on a connection of its own, so that no late response can be
- * taken for that of another call. The status alone decides; a body that does not end changes nothing.
+ * taken for that of another call. The status alone decides, unless the response is malformed; a body that does not end
+ * changes nothing.
  *
  * @param holder the name of this VM
  */
@@ -62,7 +63,7 @@
 
         override fun onFailure(failure: HttpFailure) {
             val unanswered = if (failure.sent) DutyCallResult.UNKNOWN else DutyCallResult.NOT_SENT
-            finish(status?.let { result(it) } ?: unanswered, failure.reason)
+            finish(status?.takeUnless { failure.malformed }?.let { result(it) } ?: unanswered, failure.reason)
         }
 
         private fun finish(result: DutyCallResult, reason: String?) = environment.thread.guard {
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -100,7 +100,9 @@
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         val isMalformed = cause is MalformedResponseException
         val reason = if (isMalformed) "malformed response: ${cause.message}" else cause.toString()
-        val isFirst = fail { HttpFailure(sent = true, reason = reason, closedByPeer = cause is IOException) }
+        val isFirst = fail {
+            HttpFailure(sent = true, reason = reason, closedByPeer = cause is IOException, malformed = isMalformed)
+        }
         if (isFirst && isMalformed) malformedResponses.onMalformedResponse(request.address, cause.message.orEmpty())
         context.close()
     }
