Own interface: an answer without a final status is no answer

What callers saw: nothing yet; found by reading. A call's answer with a status outside of 200 to 599 from the daemon that owns the server, or from a record that an earlier version wrote, would be passed on, also to repeats with the same key.

Cause: CallsRegion.answer, which every answer to a call passes, looked only for statuses that promise that nothing ran.

Change: such an answer ends a call under a claim as outcome-unknown and any other one as backend-lost.

--- a/core/src/main/kotlin/org/bulrushtack/core/call/CallsRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/call/CallsRegion.kt
@@ -23,13 +23,17 @@
     /**
      * Completes [call] with an answer, unless its caller already got the error that its deadline passed. A service that
      * has got a call can't promise by a status that it hasn't run; the caller of one under a claim would make another.
+     * An answer without a final status, which another daemon or an earlier version may pass on, is none.
      */
     internal fun answer(call: ActiveCall, answer: CallAnswer, replayed: Boolean): List<Action> {
-        val action = Action.AnswerCall(requestId = call.call.id, answer = answer, replayed = replayed)
-        return if (call.claimKey != null && RefusalStatus.promisesNotRun(answer.status)) {
-            fail(call, ErrorKind.OUTCOME_UNKNOWN, detail = "The service responded with status ${answer.status}.")
-        } else {
-            complete(call, action)
+        val detail = "The service responded with status ${answer.status}."
+        val isClaimed = call.claimKey != null
+        val isFinal = answer.status in FINAL_STATUSES
+        return when {
+            isClaimed && (!isFinal || RefusalStatus.promisesNotRun(answer.status)) ->
+                fail(call, ErrorKind.OUTCOME_UNKNOWN, detail)
+            !isFinal -> fail(call, ErrorKind.BACKEND_LOST, detail)
+            else -> complete(call, Action.AnswerCall(requestId = call.call.id, answer = answer, replayed = replayed))
         }
     }
 
@@ -48,3 +52,6 @@
         return if (call.callerAnswered) emptyList() else listOf(action)
     }
 }
+
+@Suppress("MagicNumber")
+private val FINAL_STATUSES = 200..599
--- a/core/src/test/kotlin/org/bulrushtack/core/call/CallControllerTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/call/CallControllerTest.kt
@@ -8,6 +8,8 @@
 import org.bulrushtack.core.control.RecordIdentifiers
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.error.Problem
+import org.bulrushtack.core.log.CallAnswer
+import org.bulrushtack.core.log.CallKey
 import org.bulrushtack.core.membership.MemberIdentity
 import org.bulrushtack.core.server.BackendServerDirectory
 import kotlin.random.Random
@@ -76,7 +78,23 @@
         finalKind() shouldBe ErrorKind.NO_BACKEND_SERVER
     }
 
+    // Guards against a status that is none, from another daemon or from the record of an earlier version.
+    @Test
+    fun `an answer without a final status is no answer`() {
+        listOf(0, 99, 100, 199, 600, -200).forEach { status ->
+            listOf(null to ErrorKind.BACKEND_LOST, CLAIM_KEY to ErrorKind.OUTCOME_UNKNOWN).forEach { (key, kind) ->
+                val answer = CallAnswer(status = status, contentType = "text/plain", body = "")
+                val active = ActiveCall(call = call, stage = ActiveCall.Stage.SENT, attempt = 1, claimKey = key)
+
+                val action = blackboard.calls.answer(active, answer, replayed = false).single()
+
+                (action as Action.FailCall).problem.kind shouldBe kind
+            }
+        }
+    }
+
     private companion object {
+        val CLAIM_KEY = CallKey(workspace = "dock", service = "booking", idempotencyKey = "key-1")
         const val DEADLINE_MILLIS = 10_000L
         const val TICK_MILLIS = 100L
     }
--- a/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/PlatformFailureTest.kt
+++ b/daemon/src/test/kotlin/org/bulrushtack/daemon/lifecycle/PlatformFailureTest.kt
@@ -95,6 +95,20 @@
         lookup.status shouldBe 503
     }
 
+    @Test
+    fun `a booking whose response has the status 0 ends as unknown, and a repeatable call as lost`() {
+        val key = system.newIdempotencyKey()
+        system.send(system.service.controlPort, "POST", "/control/faults", """{"status":0}""")
+
+        val first = system.book(idempotencyKey = key, port = system.ports.first()).join()
+        val second = system.book(idempotencyKey = key, port = system.ports.last()).join()
+        val lookup = system.book(idempotencyKey = null, port = system.ports.first(), operation = "lookup").join()
+
+        listOf(first, second).map { system.json(it)["kind"].asText() }.toSet() shouldBe setOf("outcome-unknown")
+        system.serviceRuns().count { it == key } shouldBe 1
+        system.json(lookup)["kind"].asText() shouldBe "backend-lost"
+    }
+
     @Test
     fun `a completion loses no token when its engine restarts mid-stream`() {
         val pendingResponse = CompletableFuture.supplyAsync {
