Own interface: read counts and flags of servers strictly

What was seen: an engine's list of requests with a capacity in quotes or below 0, or with a text where a flag should be, was taken for a list; an event with an offset that is no number counted as one at 0. A final event without its count left the completion without an end until its deadline.

Cause: lenient conversions, and a reader that counted as finished before it had read the final event.

Change: such values are errors: a list is unreadable, and a completion is lost, in time to be resumed elsewhere.

--- a/backend/src/main/kotlin/org/bulrushtack/backend/EngineResponseReader.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/EngineResponseReader.kt
@@ -63,11 +63,12 @@
     }
 
     private fun chunk(node: JsonNode, text: String) =
-        listener.onChunk(offset = node["offset"].asLong(), tokens = node["tokens"].asLong(), text = text)
+        listener.onChunk(offset = node.requireCount("offset"), tokens = node.requireCount("tokens"), text = text)
 
     private fun finish(node: JsonNode, reason: String) {
+        val totalTokens = node.requireCount("total_tokens")
         finished = true
-        listener.onFinished(totalTokens = node["total_tokens"].asLong(), reason = reason, incarnation = incarnation)
+        listener.onFinished(totalTokens = totalTokens, reason = reason, incarnation = incarnation)
     }
 
     private fun problem(): Problem {
--- a/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
+++ b/backend/src/main/kotlin/org/bulrushtack/backend/HttpServerInspector.kt
@@ -25,15 +25,15 @@
         get(address = address, path = "/v1/requests") { node ->
             RunningList(
                 incarnation = node["incarnation"].asText(),
-                capacityTokens = node["capacity_tokens"].asLong(),
-                leaving = node["leaving"].asBoolean(),
+                capacityTokens = node.requireCount("capacity_tokens"),
+                leaving = node.requireFlag("leaving"),
                 requests = node["requests"].map { toRunningRequest(it) },
             )
         }
 
     override fun readLoad(address: String): CompletableFuture<Either<String, ServerReport>> =
         get(address = address, path = "/v1/load") { node ->
-            ServerReport(incarnation = node["incarnation"].asText(), cold = node["cold"].asBoolean())
+            ServerReport(incarnation = node["incarnation"].asText(), cold = node.requireFlag("cold"))
         }
 
     override fun cancel(address: String, context: BackendRequestContext) {
@@ -52,7 +52,7 @@
         id = node["id"].asText(),
         owner = node["owner"].asText(),
         ownerIncarnation = node["owner_incarnation"].asText(),
-        reservedTokens = node["reserved_tokens"].asLong(),
+        reservedTokens = node.requireCount("reserved_tokens"),
     )
 
     private fun <T> get(address: String, path: String, parse: (JsonNode) -> T): CompletableFuture<Either<String, T>> {
--- a/backend/src/test/kotlin/org/bulrushtack/backend/HttpServerInspectorTest.kt
+++ b/backend/src/test/kotlin/org/bulrushtack/backend/HttpServerInspectorTest.kt
@@ -46,9 +46,11 @@
 
     private fun list(number: Int): String {
         val body = """{"incarnation":"i-1","capacity_tokens":$number,"leaving":false,"requests":[]}"""
-        return "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
+        return response(body)
     }
 
+    private fun response(body: String) = "HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n$body"
+
     // Guards against work that counts as finished since an earlier list, written once more, doesn't contain it.
     @Test
     fun `a list of an earlier request that is written once more is not taken for the current one`() {
@@ -61,4 +63,27 @@
 
         capacities shouldBe listOf(1L, 2L)
     }
+
+    @Test
+    fun `a list whose values have other types is no list`() {
+        val bodies = listOf(
+            """{"incarnation":"i-1","capacity_tokens":"9","leaving":false,"requests":[]}""",
+            """{"incarnation":"i-1","capacity_tokens":-9,"leaving":false,"requests":[]}""",
+            """{"incarnation":"i-1","capacity_tokens":9,"leaving":"no","requests":[]}""",
+            """{"incarnation":"i-1","capacity_tokens":9,"leaving":false}""",
+        )
+        bodies.forEach { body ->
+            ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { server ->
+                thread(isDaemon = true) {
+                    server.accept().use { socket ->
+                        socket.getInputStream().bufferedReader().lineSequence().first { it.isEmpty() }
+                        socket.getOutputStream().write(response(body).toByteArray())
+                    }
+                }
+                val address = "127.0.0.1:${server.localPort}"
+
+                testSubject.listRequests(address).get(10, TimeUnit.SECONDS).isLeft() shouldBe true
+            }
+        }
+    }
 }
