Tools: responses that are no JSON objects end as failures

What was seen: bulrushtack ended with a stack trace on a response that was no JSON, or a problem without a title; bulrushtack-bench never got the result of a completion whose error response was no JSON, and waited for it.

Cause: both parsed the body without a check.

--- a/bench/src/main/kotlin/org/bulrushtack/bench/CompletionVerifier.kt
+++ b/bench/src/main/kotlin/org/bulrushtack/bench/CompletionVerifier.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.bench
 
+import arrow.core.Either
 import com.fasterxml.jackson.databind.JsonNode
 import org.bulrushtack.bench.CompletionResult.Outcome
 import org.bulrushtack.http.HttpFailure
@@ -39,7 +40,10 @@
     }
 
     override fun onComplete() {
-        if (status != STATUS_OK) problemKind = kindOf(BenchClient.mapper.readTree(errorBody.toString()))
+        if (status != STATUS_OK) {
+            val problem = Either.catch { BenchClient.mapper.readTree(errorBody.toString()) }.getOrNull()
+            problemKind = problem?.let { kindOf(it) }.orEmpty()
+        }
         completeResult()
     }
 
--- a/command/src/main/kotlin/org/bulrushtack/command/DaemonClient.kt
+++ b/command/src/main/kotlin/org/bulrushtack/command/DaemonClient.kt
@@ -5,6 +5,7 @@
 import arrow.core.right
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.ObjectMapper
+import com.fasterxml.jackson.databind.node.MissingNode
 import com.fasterxml.jackson.module.kotlin.jacksonObjectMapper
 import org.bulrushtack.http.ClientRequest
 import org.bulrushtack.http.EventLoops
@@ -48,10 +49,20 @@
         Failure(exitCode = ExitCode.UNREACHABLE, message = "no response from $address: ${failure.reason}").left()
 
     private fun parse(response: HttpMessageResponse): Either<Failure, JsonNode> {
-        val node = mapper.readTree(response.body)
-        if (response.status == STATUS_OK) return node.right()
-        val message = "${node["kind"].asText()}: ${node["title"].asText()} ${node["detail"].asText()}".trim()
-        return Failure(exitCode = ExitCode.REFUSED, message = message).left()
+        val node = Either.catch { mapper.readTree(response.body) }.getOrNull() ?: MissingNode.getInstance()
+        return when {
+            !node.isObject -> {
+                val message = "the response from $address, with status ${response.status}, is no JSON object"
+                Failure(exitCode = ExitCode.UNREACHABLE, message = message).left()
+            }
+            response.status == STATUS_OK -> node.right()
+            else -> Failure(exitCode = ExitCode.REFUSED, message = problemText(node)).left()
+        }
+    }
+
+    private fun problemText(problem: JsonNode): String {
+        val (kind, title, detail) = listOf("kind", "title", "detail").map { problem.path(it).asText() }
+        return "$kind: $title $detail".trim()
     }
 
     /** The exit code and the message of a failed command. */
