--- a/http/src/main/kotlin/org/bulrushtack/http/syntax/ResponseMessage.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/syntax/ResponseMessage.kt
@@ -1,6 +1,9 @@
 package org.bulrushtack.http.syntax
 
-/** The lines and the body of one response, in their order. */
+/**
+ * The parts of one response, in their order. Informational responses before it belong to it. A body that ends with the
+ * connection is endless here.
+ */
 internal class ResponseMessage {
     private var isHeadRequest = false
     private var statusLine: StatusLine? = null
@@ -45,15 +48,16 @@
     private fun endHead(): ResponseRule? {
         val status = checkNotNull(statusLine)
         return BodyFraming.of(status, fields, isHeadRequest).fold(ifLeft = { it }) { framing ->
-            when {
-                status.isInformational -> proceed(Part.STATUS_LINE)
-                framing is BodyFraming.Length -> startBody(framing.bytes, next = Part.END)
-                framing is BodyFraming.Chunked -> proceed(Part.CHUNK_SIZE)
-                else -> startBody(bytes = Long.MAX_VALUE, next = Part.END)
-            }
+            if (status.isInformational) proceed(Part.STATUS_LINE) else startBody(framing)
         }
     }
 
+    private fun startBody(framing: BodyFraming): ResponseRule? = when (framing) {
+        is BodyFraming.Length -> startBody(framing.bytes, next = Part.END)
+        BodyFraming.Chunked -> proceed(Part.CHUNK_SIZE)
+        BodyFraming.ConnectionEnd -> startBody(bytes = Long.MAX_VALUE, next = Part.END)
+    }
+
     private fun startChunk(bytes: Long?): ResponseRule? {
         fields = FieldLines()
         return when (bytes) {
@@ -72,6 +76,7 @@
     /** A length in the trailers would come too late for a reader that joins them to the head. */
     private fun endTrailers(): ResponseRule? = if (fields.hasFraming) ResponseRule.FRAMING else proceed(Part.END)
 
+    /** Goes on with [next]; returns that no rule is broken. */
     private fun proceed(next: Part): ResponseRule? {
         part = next
         return null
--- a/http/src/main/kotlin/org/bulrushtack/http/syntax/ResponseSyntaxHandler.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/syntax/ResponseSyntaxHandler.kt
@@ -6,7 +6,8 @@
 import io.netty.util.ReferenceCountUtil
 
 /**
- * Checks each response before the codec decodes it, since the codec also accepts what is no HTTP. Bytes that belong to
+ * Checks each response before the codec decodes it, since the codec also accepts what is no HTTP. What comes before the
+ * breach of a rule is passed on, so that the result does not depend on how the bytes were split. Bytes that belong to
  * no response end the connection.
  */
 internal class ResponseSyntaxHandler : ChannelInboundHandlerAdapter() {
