Accept no response that the codec reads in another way than the check

What was seen: nothing outside; found by a test that feeds changed responses to the check and to the codec. A response of HTTP/1.2 to 1.9 with chunks passed the check, and the codec took the chunks' framing for a body up to the end of the connection. A folded line after an empty field passed as well, and the codec refused it.

Cause: the check took any digit for the minor version, and joined folded lines to fields without a value.

Change: the versions are 1.0 and 1.1, as there are no others, and such a folded line breaks the rule of folded lines, which the log then names.

--- a/http/src/main/kotlin/org/bulrushtack/http/syntax/FieldLines.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/syntax/FieldLines.kt
@@ -18,12 +18,13 @@
     /** Whether any field tells where a body ends. */
     val hasFraming: Boolean get() = fields.any { it.isFraming }
 
-    /** Line folding is obsolete, but valid where every reader joins the lines to the same fields. */
+    /** Line folding is obsolete; it is accepted where every reader joins the lines to the same fields. */
     private fun checkFoldedLine(line: String): ResponseRule? {
         val continued = fields.lastOrNull()
         return when {
             continued == null -> ResponseRule.FIELD_NAME
-            line.isBlank() || continued.isFraming || FieldLine.isLikeField(line) -> ResponseRule.FOLDED_LINE
+            continued.isFraming || continued.value.isEmpty() -> ResponseRule.FOLDED_LINE
+            line.isBlank() || FieldLine.isLikeField(line) -> ResponseRule.FOLDED_LINE
             !FieldLine.isValue(line) -> ResponseRule.FIELD_VALUE
             else -> null
         }
--- a/http/src/main/kotlin/org/bulrushtack/http/syntax/ResponseRule.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/syntax/ResponseRule.kt
@@ -13,7 +13,7 @@
     STATUS_LINE("the status line is not a version, a status of 100 to 599 and a reason"),
     FIELD_NAME("the name of a field is not a token"),
     FIELD_VALUE("the value of a field holds a control byte"),
-    FOLDED_LINE("a folded line is blank, reads as a field or continues one that frames the body"),
+    FOLDED_LINE("a folded line is blank, reads as a field, or continues one that is empty or frames the body"),
     FRAMING("the length and the transfer codings are malformed or contradict each other"),
     CHUNK("a chunk has no proper size or end"),
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/syntax/StatusLine.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/syntax/StatusLine.kt
@@ -25,8 +25,11 @@
     }
 }
 
-/** Servers that send no reason often leave out the blank before it too. */
-private val PATTERN = Regex("""HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?""")
+/**
+ * There are no other versions of HTTP/1, and readers differ on whether one could be chunked. Servers that send no
+ * reason often leave out the blank before it too.
+ */
+private val PATTERN = Regex("""HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?""")
 private const val NO_CONTENT = 204
 private const val NOT_MODIFIED = 304
 
--- a/http/src/test/kotlin/org/bulrushtack/http/MalformedStatusLineTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/MalformedStatusLineTest.kt
@@ -49,6 +49,7 @@
             "HTTP/1 200 OK",
             "HTTP/1.1.1 200 OK",
             "HTTP/11 200 OK",
+            "HTTP/1.2 200 OK",
             "HTTP/2.0 200 OK",
             "ICY 200 OK",
         )
