--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -72,6 +72,7 @@
     platform: ForwardPlatform,
     daemons: DaemonTable,
     seed: Long,
+    openBackendChannel: () -> NioSocketChannel,
 ) {
     private val clock: MonotonicClock = SystemMonotonicClock()
     private val random = Random(seed)
@@ -106,7 +107,7 @@
     private val client = HttpClient(
         group = group,
         connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS,
-        channelFactory = { budget.openOutgoing(NioSocketChannel()) },
+        channelFactory = { budget.openOutgoing(openBackendChannel()) },
         malformedResponses = malformedResponses,
     )
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.forward.lifecycle
 
 import io.grpc.Server
+import io.netty.channel.socket.nio.NioSocketChannel
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.daemon.leaderCandidates
@@ -21,14 +22,23 @@
 /**
  * A daemon that forwards callers' requests on the platform. One network thread runs all of it, so that its state needs
  * no locks.
+ *
+ * @param openBackendChannel creates the channel of each connection to a backend server
  */
 class ForwardingDaemon(
     private val settings: ForwardSettings,
     platform: ForwardPlatform,
     incarnation: String,
     seed: Long,
+    openBackendChannel: () -> NioSocketChannel = { NioSocketChannel() },
 ) {
-    private val components = ForwardComponents(settings, platform, DaemonTable(self(settings, incarnation)), seed)
+    private val components = ForwardComponents(
+        settings = settings,
+        platform = platform,
+        daemons = DaemonTable(self(settings, incarnation)),
+        seed = seed,
+        openBackendChannel = openBackendChannel,
+    )
     private val state = components.state
     private val log = components.logs.forComponent("life")
     private val terminated = CountDownLatch(1)
