Send callers elsewhere while a daemon reaches no backend server, and don't hold its failures against servers

Cause: a daemon was ready whatever it reached, and so the directory named it. Each connection that it could not open was reported as a failure of the server, so that the placement leader avoided engines that were sound, for all daemons; this made the others refuse as well. Connections that broke off with the links counted as crashes under the prompts on them, which were then kept from all servers. Change: each daemon judges by its new connections whether it reaches servers (ServerReachability): three servers lost in a row raise a doubt, and four probes that all fail confirm it. It tells the others, and is not ready as long as another one reaches servers: directories leave it out, new requests and those that wait get 503 servers-unreachable with Retry-After 0.1. It probes each 0.3 s until a server is reached. While in doubt, what it could not reach is held against no server, breaks off no lifetime and takes no server out of use. While no daemon reaches a server, all stay ready. Why this works: a daemon that is cut off can't tell by itself whether servers are down, but together with what the others reach it can. Ruled out: passing requests on through another daemon. It would serve the callers of the first second as well, but needs a second way for bodies between regions, and a rule for sends that two daemons count.

--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
@@ -13,6 +13,7 @@
  * @property capacity the processor share of its VM in thousandths of a core; 0 while unknown
  * @property linkCapacity the data rate of its VM's link in kilobits a second; 0 while unknown
  * @property pressure the part of its capacity that it lacks at present, in per cent and in a few steps
+ * @property reachesServers whether it reaches any backend server, as far as it has tried
  * @property revision incremented at each change to this description within an incarnation
  */
 public data class DaemonInfo(
@@ -29,4 +30,5 @@
     val capacity: Long = 0,
     val linkCapacity: Long = 0,
     val pressure: Long = 0,
+    val reachesServers: Boolean = true,
 )
--- a/core/src/main/kotlin/org/bulrushtack/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/error/ErrorKind.kt
@@ -170,6 +170,13 @@
         retryAdvice = RetryAdvice.LATER,
         text = "The connection to the backend server could not be opened.",
     ),
+    SERVERS_UNREACHABLE(
+        code = "servers-unreachable",
+        status = 503,
+        runState = RunState.NO,
+        retryAdvice = RetryAdvice.LATER,
+        text = "This daemon reaches no backend server; others do.",
+    ),
     NOT_READY(
         code = "not-ready",
         status = 503,
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -61,6 +61,10 @@
         }
     }
 
+    /** The addresses of all servers whose entries are stored, whether they may receive requests or not. */
+    public val storedAddresses: List<String>
+        get() = servers.values.filter { it.usableUntilMillis == null }.map { it.entry.address }
+
     /** The number of known servers, usable or not. */
     public val size: Int get() = servers.size
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ForwardThread.kt
@@ -41,10 +41,13 @@
     /** Like [whenDone], but in the same turn of the event loop in which [future] is completed there. */
     fun <T> whenDoneInTurn(future: CompletableFuture<T>, action: (result: T?, failure: Throwable?) -> Unit) {
         future.whenComplete { result, failure ->
-            if (loop.inEventLoop()) guard { action(result, failure) } else execute { action(result, failure) }
+            runInTurn { action(result, failure) }
         }
     }
 
+    /** Runs [action] at once if this is the event loop's thread, else soon on that thread. */
+    fun runInTurn(action: () -> Unit) = if (loop.inEventLoop()) guard(action) else execute(action)
+
     /** Runs [action] now; an unexpected error in it doesn't end the caller. */
     fun guard(action: () -> Unit) {
         runCatching(action).onFailure(onError)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/ProblemWriter.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/ProblemWriter.kt
@@ -10,6 +10,9 @@
 
 /** Serialises problems as problem documents (RFC 9457). */
 object ProblemWriter {
+    /** The time after which a caller may retry if nothing better is known. */
+    const val DEFAULT_RETRY_MILLIS: Long = 1_000
+
     private val mapper = ObjectMapper()
 
     /** The response for [problem] of request [requestId]; if a retry may succeed, after [retryAfterMillis]. */
@@ -46,5 +49,4 @@
     }
 }
 
-private const val DEFAULT_RETRY_MILLIS = 1_000L
 private const val MILLIS_PER_SECOND = 1_000.0
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -11,6 +11,7 @@
 import org.bulrushtack.forward.placement.PlacementClient
 import org.bulrushtack.forward.quarantine.CrashReports
 import org.bulrushtack.forward.quarantine.ServerLiveness
+import org.bulrushtack.forward.reachability.ReachabilityMonitor
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.wire.ExchangeCodec
 import org.bulrushtack.http.HttpClient
@@ -28,6 +29,7 @@
     val health: ServerHealth,
     val crashReports: CrashReports,
     val liveness: ServerLiveness,
+    val reachability: ReachabilityMonitor,
     val recordUsage: (workspace: String) -> Unit,
     val retryBudgets: RetryBudgets,
     val reservationClient: ReservationClient,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
@@ -47,10 +47,10 @@
         }
     }
 
-    /** Responds when the request could not be placed again. */
-    fun refused(kind: ErrorKind, sends: SendCount, retryAfterMillis: Long) = when {
+    /** Responds when the request can't be placed again; [mayHaveRun] tells whether an earlier send may have run. */
+    fun refused(kind: ErrorKind, mayHaveRun: Boolean, retryAfterMillis: Long) = when {
         relay.isStarted -> abort("no other server could resume the response")
-        sends.mayHaveRun -> problem(lostResponseKind())
+        mayHaveRun -> problem(lostResponseKind())
         else -> problem(kind, retryAfterMillis)
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -46,6 +46,7 @@
         val kind = when {
             drain.rejectsNewRequests(dependencies.thread.nowMillis()) -> ErrorKind.DRAINING
             routing == null -> ErrorKind.NOT_READY
+            dependencies.state.isCutOff -> ErrorKind.SERVERS_UNREACHABLE
             head.attemptId == null -> ErrorKind.MALFORMED_REQUEST
             else -> null
         }
@@ -69,6 +70,11 @@
         }
     }
 
+    /** Ends the requests that wait for a backend server, as this daemon reaches none, so that callers go elsewhere. */
+    fun endWaiting() = dependencies.thread.forEach(active.filter { it.isWaiting }) { forwarded ->
+        forwarded.end { refused(ErrorKind.SERVERS_UNREACHABLE, mayHaveRun = it, ELSEWHERE_MILLIS) }
+    }
+
     private fun canFinish(forwarded: ForwardedExchange, nowMillis: Long): Boolean =
         drain.leavesTimeUntil(forwarded.context.expectedEndAtMillis(nowMillis))
 
@@ -158,6 +164,11 @@
             LogField("status", kind.status),
             LogField("version", dependencies.state.routing?.configuration?.version),
         )
-        exchange.respond(ProblemWriter.response(problem = Problem(kind), requestId = requestId))
+        val retryAfterMillis =
+            if (kind == ErrorKind.SERVERS_UNREACHABLE) ELSEWHERE_MILLIS else ProblemWriter.DEFAULT_RETRY_MILLIS
+        exchange.respond(ProblemWriter.response(Problem(kind), requestId, retryAfterMillis))
     }
 }
+
+/** A caller that is refused by this daemon alone needs only the time to choose another one. */
+private const val ELSEWHERE_MILLIS = 100L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedExchange.kt
@@ -100,7 +100,7 @@
     }
 
     override fun onAttemptRefused(kind: ErrorKind, retryAfterMillis: Long) {
-        if (!response.isDone) response.refused(kind = kind, sends = sends, retryAfterMillis = retryAfterMillis)
+        if (!response.isDone) response.refused(kind, sends.mayHaveRun, retryAfterMillis)
     }
 
     private fun startAttempt() {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -28,9 +28,10 @@
     private var send: BackendSend? = null
     private var isFinished = false
 
+    private var sentTo: SendTarget? = null
+
     /** The server that got the request, or null before the send. */
-    var serverId: String? = null
-        private set
+    val serverId: String? get() = sentTo?.serverId
 
     /** Whether any byte of this attempt may have reached a server. */
     val isSent: Boolean get() = send?.isSent ?: false
@@ -138,7 +139,7 @@
             )
             return
         }
-        serverId = target.serverId
+        sentTo = target
         val head = BackendRequestHead(
             serverId = target.serverId,
             workspace = context.workspace?.name,
@@ -175,13 +176,15 @@
     private fun finish(result: SendResult, attributeToServer: Boolean) {
         if (isFinished) return
         isFinished = true
-        crashObserver.onFinished(result)
+        sentTo?.takeIf { result.isBrokenOff }?.let { dependencies.reachability.recordLost(it.address) }
+        val isOwnLoss = attributeToServer && result.isServerLost && !dependencies.reachability.trustsFailures
+        crashObserver.onFinished(if (isOwnLoss) result.copy(isBrokenOff = false) else result)
         val isMisdirected = result.reason == BackendSend.MISDIRECTED
         val isVersionRefused = isMisdirected && context.caller.requiresVersion
         if (isMisdirected && !isVersionRefused) dependencies.state.fleet.markLeaving(result.serverId)
         progress.stop()
         reservations?.release()
-        val isServersOutcome = attributeToServer && !isVersionRefused
+        val isServersOutcome = attributeToServer && !isVersionRefused && !isOwnLoss
         val outcome = if (isServersOutcome) placementOutcome(result.outcome) else PlacementOutcome.ABANDONED
         placement?.release(outcome, result.serverId, progress.firstEventMillis)
         listener.onAttemptFinished(result.copy(firstEventMillis = progress.firstEventMillis))
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendResult.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendResult.kt
@@ -23,4 +23,7 @@
     val framing: ResponseFraming? = null,
     val unfinishedBytes: Int = 0,
     val firstEventMillis: Long? = null,
-)
+) {
+    /** Whether the server was not reached, or no longer. */
+    val isServerLost: Boolean get() = outcome == SendOutcome.NOT_SENT || isBrokenOff
+}
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -43,6 +43,7 @@
 import org.bulrushtack.forward.exchange.ResponseBufferShare
 import org.bulrushtack.forward.exchange.RetryBudgets
 import org.bulrushtack.forward.log.EventLogs
+import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.peer.CoordinationService
 import org.bulrushtack.forward.peer.PeerConnections
 import org.bulrushtack.forward.peer.PeerSync
@@ -55,6 +56,8 @@
 import org.bulrushtack.forward.quarantine.CrashReports
 import org.bulrushtack.forward.quarantine.HttpServerChecker
 import org.bulrushtack.forward.quarantine.ServerLiveness
+import org.bulrushtack.forward.reachability.HttpConnectionProber
+import org.bulrushtack.forward.reachability.ReachabilityMonitor
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.store.LapsedEntryPolicy
 import org.bulrushtack.forward.store.PeerRecords
@@ -103,12 +106,19 @@
 
     /** What the connections of this process hold and may hold. */
     val budget = ResourceBudget(limits = LiveBudgetLimits(resourceLimits, state)::current, clientReports::record)
+    val reachability = ReachabilityMonitor(
+        state = state,
+        thread = thread,
+        random = random,
+        log = logs.forComponent("reachability"),
+    )
     private val malformedResponses = MalformedResponseLog(logs.forComponent("responses"))
     private val client = HttpClient(
         group = group,
         connectTimeoutMillis = CONNECT_TIMEOUT_MILLIS,
         channelFactory = { budget.openOutgoing(openBackendChannel()) },
         malformedResponses = malformedResponses,
+        connectObserver = reachability,
     )
 
     /** The store is reached also when callers use up the sockets. */
@@ -236,10 +246,13 @@
         liveness = ServerLiveness(
             checker = HttpServerChecker(codec = platform.exchangeCodec, client = client, thread = thread),
             fleet = state.fleet,
-            isConnected = { replica.ageMillis(StoreTopic.BACKEND_SERVERS) < CONNECTED_AGE_MILLIS },
+            isConnected = {
+                reachability.trustsFailures && replica.ageMillis(StoreTopic.BACKEND_SERVERS) < CONNECTED_AGE_MILLIS
+            },
             thread = thread,
             log = logs.forComponent("quarantine"),
         ),
+        reachability = reachability,
         recordUsage = { workspace -> duties?.recordUsage(workspace) },
         retryBudgets = RetryBudgets(
             ratio = { this.settings.current.retryRatio },
@@ -262,6 +275,8 @@
 
     init {
         follower.onRead = sync::tick
+        reachability.prober = HttpConnectionProber(client = client, thread = thread)
+        reachability.onChanged = ::onReachabilityChanged
         sync.plainLoads = PlainLoadSync(loads = plainLoads, own = { plainServerSelector.inFlight }, clock = clock)
     }
 
@@ -290,6 +305,21 @@
         )
     }
 
+    private fun onReachabilityChanged() {
+        announceReadiness()
+        sync.tick()
+        if (state.isCutOff) front.endWaiting()
+    }
+
+    /** Tells the other daemons whether this one is ready. */
+    fun announceReadiness() {
+        val self = state.daemons.self
+        if (self.ready == state.isReady) return
+        state.daemons.self = self.copy(ready = state.isReady)
+        logs.forComponent("life")
+            .info("Readiness changed.", LogField("ready", state.isReady), LogField("draining", state.draining))
+    }
+
     private fun responseBufferBytes(): Int =
         ResponseBufferShare.bytes(front.activeCount, heapBytes = Runtime.getRuntime().maxMemory())
 
@@ -326,6 +356,7 @@
         metrics.gauge("bulrushtack.forward.plain.shared") { if (plainLoads.isFresh(clock.nowMillis())) 1 else 0 }
         metrics.gauge("bulrushtack.forward.vm.pressure") { state.daemons.self.pressure }
         metrics.gauge("bulrushtack.forward.servers") { state.fleet.size }
+        metrics.gauge("bulrushtack.forward.servers.reached") { if (state.daemons.self.reachesServers) 1 else 0 }
         metrics.gauge("bulrushtack.forward.configuration.version") { state.routing?.configuration?.version ?: -1 }
         duties?.registerGauges(metrics)
         StoreTopic.entries.filter { it.isReplicated }.forEach { topic ->
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -114,10 +114,8 @@
     private fun tick() {
         val nowMillis = components.thread.nowMillis()
         val self = state.daemons.self
-        if (self.ready != state.isReady) {
-            state.daemons.self = self.copy(ready = state.isReady)
-            log.info("Readiness changed.", LogField("ready", state.isReady), LogField("draining", state.draining))
-        }
+        components.reachability.tick()
+        components.announceReadiness()
         pressure.tick(nowMillis)
         val isReader = state.daemons.leaderCandidates(nowMillis).firstOrNull()?.name == self.name
         components.follower.tick(isReader)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
@@ -23,6 +23,7 @@
         .setCapacity(daemon.capacity)
         .setLinkCapacity(daemon.linkCapacity)
         .setPressure(daemon.pressure)
+        .setServersUnreachable(!daemon.reachesServers)
         .build()
 
     /** The daemon that [record] describes; null if no other daemon could reach it. */
@@ -43,6 +44,7 @@
             capacity = record.capacity,
             linkCapacity = record.linkCapacity,
             pressure = record.pressure,
+            reachesServers = !record.serversUnreachable,
         )
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/ServerLiveness.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/ServerLiveness.kt
@@ -12,7 +12,8 @@
  * server is asked once for all sends that wait for it. One at whose address nothing listens gets no requests until its
  * entry is written again.
  *
- * @param isConnected whether this daemon is connected with the rest of the system; otherwise silence means nothing
+ * @param isConnected whether this daemon is connected with the rest of the system and with other servers; otherwise
+ *   silence and refused connections mean nothing
  */
 internal class ServerLiveness(
     private val checker: ServerChecker,
@@ -66,9 +67,11 @@
     }
 
     /** A silent server may be in use again before its entry is written; one at whose address nothing listens is not. */
-    private fun onRefused(server: ObservedServer, known: KnownServer): Liveness {
+    private fun onRefused(server: ObservedServer, known: KnownServer): Liveness = if (isConnected()) {
         if (!isReplaced(server)) fleet.markLeaving(server.lifetime.serverId)
-        return end(server, known, "nothing listens at its address")
+        end(server, known, "nothing listens at its address")
+    } else {
+        Liveness.UNKNOWN
     }
 
     /** One check may be lost on the way; two in a row are not, unless it is this daemon that is cut off. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
@@ -19,6 +19,9 @@
     /** Whether the daemon is shutting down. */
     var draining: Boolean = false
 
+    /** Whether this daemon reaches no backend server while other daemons do. */
+    var isCutOff: Boolean = false
+
     /** Whether this daemon may be announced to callers. */
-    val isReady: Boolean get() = routing != null && fleet.size > 0 && !draining
+    val isReady: Boolean get() = routing != null && fleet.size > 0 && !draining && !isCutOff
 }
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -17,6 +17,7 @@
 import org.bulrushtack.http.syntax.ResponseSyntaxHandler
 import java.io.ByteArrayOutputStream
 import java.net.ConnectException
+import java.net.SocketException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedDeque
@@ -31,6 +32,7 @@
     private val connectTimeoutMillis: Int = DEFAULT_CONNECT_TIMEOUT_MILLIS,
     private val channelFactory: ChannelFactory<out Channel> = ChannelFactory { NioSocketChannel() },
     private val malformedResponses: MalformedResponseObserver = LoggingMalformedResponseObserver,
+    private val connectObserver: ConnectObserver = object : ConnectObserver {},
 ) {
     private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
 
@@ -65,6 +67,20 @@
         return collector.result
     }
 
+    /** Opens a connection to [address], closes it without a request, and returns whether the address is reachable. */
+    public fun probe(address: String): CompletableFuture<Boolean> {
+        val target = HostAndPort.parse(address) ?: return CompletableFuture.completedFuture(false)
+        val result = CompletableFuture<Boolean>()
+        connect(target, isDedicated = false).addListener { future ->
+            if (future.isSuccess) (future as ChannelFuture).channel().close()
+            result.complete(future.isSuccess || !isUnreachable(future.cause()))
+        }
+        return result
+    }
+
+    /** Other failures, as of a process without descriptors, say nothing about the address. */
+    private fun isUnreachable(cause: Throwable): Boolean = cause is SocketException
+
     /** The failure to create a channel at all, as when no descriptors are left, arrives on a thread of Netty's own. */
     private fun abort(call: ClientExchange, cause: Throwable) =
         group.next().execute {
@@ -89,6 +105,12 @@
             }
         })
         .connect(address.host, address.port)
+        .addListener { future ->
+            when {
+                future.isSuccess -> connectObserver.onConnected("$address")
+                isUnreachable(future.cause()) -> connectObserver.onUnreachable("$address")
+            }
+        }
 
     private fun takeIdle(address: String): Channel? =
         generateSequence { idle[address]?.pollFirst() }.firstOrNull { it.isActive }
--- a/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecord.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecord.java
@@ -366,6 +366,21 @@
     return pressure_;
   }
 
+  public static final int SERVERS_UNREACHABLE_FIELD_NUMBER = 15;
+  private boolean serversUnreachable_ = false;
+  /**
+   * <pre>
+   * Whether the daemon reaches no backend server.
+   * </pre>
+   *
+   * <code>bool servers_unreachable = 15;</code>
+   * @return The serversUnreachable.
+   */
+  @java.lang.Override
+  public boolean getServersUnreachable() {
+    return serversUnreachable_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -422,6 +437,9 @@
     if (pressure_ != 0L) {
       output.writeInt64(14, pressure_);
     }
+    if (serversUnreachable_ != false) {
+      output.writeBool(15, serversUnreachable_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -482,6 +500,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(14, pressure_);
     }
+    if (serversUnreachable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(15, serversUnreachable_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -525,6 +547,8 @@
         != other.getLinkCapacity()) return false;
     if (getPressure()
         != other.getPressure()) return false;
+    if (getServersUnreachable()
+        != other.getServersUnreachable()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -573,6 +597,9 @@
     hash = (37 * hash) + PRESSURE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getPressure());
+    hash = (37 * hash) + SERVERS_UNREACHABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getServersUnreachable());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -718,6 +745,7 @@
       capacity_ = 0L;
       linkCapacity_ = 0L;
       pressure_ = 0L;
+      serversUnreachable_ = false;
       return this;
     }
 
@@ -793,6 +821,9 @@
       if (((from_bitField0_ & 0x00002000) != 0)) {
         result.pressure_ = pressure_;
       }
+      if (((from_bitField0_ & 0x00004000) != 0)) {
+        result.serversUnreachable_ = serversUnreachable_;
+      }
     }
 
     @java.lang.Override
@@ -891,6 +922,9 @@
       if (other.getPressure() != 0L) {
         setPressure(other.getPressure());
       }
+      if (other.getServersUnreachable() != false) {
+        setServersUnreachable(other.getServersUnreachable());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -987,6 +1021,11 @@
               bitField0_ |= 0x00002000;
               break;
             } // case 112
+            case 120: {
+              serversUnreachable_ = input.readBool();
+              bitField0_ |= 0x00004000;
+              break;
+            } // case 120
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1735,6 +1774,50 @@
       onChanged();
       return this;
     }
+
+    private boolean serversUnreachable_ ;
+    /**
+     * <pre>
+     * Whether the daemon reaches no backend server.
+     * </pre>
+     *
+     * <code>bool servers_unreachable = 15;</code>
+     * @return The serversUnreachable.
+     */
+    @java.lang.Override
+    public boolean getServersUnreachable() {
+      return serversUnreachable_;
+    }
+    /**
+     * <pre>
+     * Whether the daemon reaches no backend server.
+     * </pre>
+     *
+     * <code>bool servers_unreachable = 15;</code>
+     * @param value The serversUnreachable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setServersUnreachable(boolean value) {
+
+      serversUnreachable_ = value;
+      bitField0_ |= 0x00004000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the daemon reaches no backend server.
+     * </pre>
+     *
+     * <code>bool servers_unreachable = 15;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearServersUnreachable() {
+      bitField0_ = (bitField0_ & ~0x00004000);
+      serversUnreachable_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecordOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecordOrBuilder.java
@@ -149,4 +149,14 @@
    * @return The pressure.
    */
   long getPressure();
+
+  /**
+   * <pre>
+   * Whether the daemon reaches no backend server.
+   * </pre>
+   *
+   * <code>bool servers_unreachable = 15;</code>
+   * @return The serversUnreachable.
+   */
+  boolean getServersUnreachable();
 }
