--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -177,6 +177,7 @@
         if (isFinished) return
         isFinished = true
         sentTo?.takeIf { result.isBrokenOff }?.let { dependencies.reachability.recordLost(it.address) }
+        // A daemon that may be cut off itself can't judge the server that it lost.
         val isOwnLoss = attributeToServer && result.isServerLost && !dependencies.reachability.trustsFailures
         crashObserver.onFinished(if (isOwnLoss) result.copy(isBrokenOff = false) else result)
         val isMisdirected = result.reason == BackendSend.MISDIRECTED
--- a/forward/src/main/kotlin/org/bulrushtack/forward/reachability/ReachabilityMonitor.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/reachability/ReachabilityMonitor.kt
@@ -24,7 +24,7 @@
     private var isProbing = false
     private var probedAtMillis = 0L
 
-    /** Opens connections to servers. */
+    /** Probes servers; set later, as the client that it uses reports its connections to this monitor. */
     var prober: ConnectionProber = ConnectionProber { _, onResult -> onResult(true) }
 
     /** Called when this daemon was cut off, and when it no longer is. */
--- a/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/ServerLivenessTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/ServerLivenessTest.kt
@@ -96,6 +96,16 @@
         find(times = 10) shouldBe Liveness.UNKNOWN
     }
 
+    @Test
+    fun `a server stays in use although its connections are refused to a daemon that is cut off`() {
+        isConnected = false
+        checker.results[server.address] = ServerCheck.Refused
+
+        find(times = 10) shouldBe Liveness.UNKNOWN
+
+        fleet.usable("i-1", time.nowMillis()) shouldNotBe null
+    }
+
     // Guards against a slow server that is taken for a dead one.
     @Test
     fun `a server that responds is alive, and so are signs of it on other sends`() {
