--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -76,6 +76,7 @@
     daemons: DaemonTable,
     seed: Long,
     openBackendChannel: () -> NioSocketChannel,
+    openPeerChannel: () -> NioSocketChannel,
 ) {
     private val clock: MonotonicClock = SystemMonotonicClock()
     private val random = Random(seed)
@@ -187,7 +188,7 @@
     )
     private val pressures = ServicePressures(metrics = metrics, log = logs.forComponent("placement"))
     private val broker = PlacementBroker(scheduler = scheduler, thread = thread, pressures = pressures)
-    private val connections = PeerConnections(group, openChannel = { budget.countOutgoing(NioSocketChannel()) })
+    private val connections = PeerConnections(group, openChannel = { budget.countOutgoing(openPeerChannel()) })
     val sync = PeerSync(
         daemons = daemons,
         replica = replica,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -24,6 +24,7 @@
  * no locks.
  *
  * @param openBackendChannel creates the channel of each connection to a backend server
+ * @param openPeerChannel creates the channel of each connection to another daemon
  */
 class ForwardingDaemon(
     private val settings: ForwardSettings,
@@ -31,6 +32,7 @@
     incarnation: String,
     seed: Long,
     openBackendChannel: () -> NioSocketChannel = { NioSocketChannel() },
+    openPeerChannel: () -> NioSocketChannel = { NioSocketChannel() },
 ) {
     private val components = ForwardComponents(
         settings = settings,
@@ -38,6 +40,7 @@
         daemons = DaemonTable(self(settings, incarnation)),
         seed = seed,
         openBackendChannel = openBackendChannel,
+        openPeerChannel = openPeerChannel,
     )
     private val state = components.state
     private val log = components.logs.forComponent("life")
