Replace a connection to a daemon over which nothing arrives while a reply is due

What callers saw: a daemon that the store refused, and whose open connections to the others had fallen silent, handled requests by a configuration that was up to 9 s older than the bound allows, long after it counted as in touch again.

Cause: a daemon gets records from others by syncs on one connection for each peer. A sync that got no reply marked the peer as unresponsive, but the next one went over the same connection, until gRPC's keep-alive gave that up after 13 s (its interval can't be less than 10 s).

A sync that times out although its connection is open, and over which nothing at all was received meanwhile, replaces the channel. If it carried replies before, the sync is sent again at once, and the peer isn't marked: a network that has lost a connection says nothing about the daemon. Calls that wait on the silent connection end, so that placements turn to the next daemon. A connection over which other replies arrive is kept.

--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
@@ -0,0 +1,18 @@
+package org.bulrushtack.forward.peer
+
+import io.grpc.ConnectivityState
+import io.grpc.ManagedChannel
+
+/** The gRPC channel to the daemon at one address, with what is known of its connection. */
+internal class PeerChannel(
+    val channel: ManagedChannel,
+    private val reception: ReceptionMonitor,
+) {
+    /** Whether a sync was ever answered over this channel. */
+    @Volatile
+    var hasReplied: Boolean = false
+
+    /** Whether a connection is open over which nothing was received since [nanoTime] of the system's monotonic clock. */
+    fun isSilentSince(nanoTime: Long): Boolean =
+        channel.getState(false) == ConnectivityState.READY && !reception.hasReceivedSince(nanoTime)
+}
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
@@ -5,6 +5,7 @@
 import io.grpc.ConnectivityState
 import io.grpc.ManagedChannel
 import io.grpc.MethodDescriptor
+import io.grpc.Status
 import io.grpc.netty.NettyChannelBuilder
 import io.grpc.stub.ClientCalls
 import io.grpc.stub.StreamObserver
@@ -26,7 +27,7 @@
     private val group: EventLoopGroup,
     private val openChannel: () -> NioSocketChannel = { NioSocketChannel() },
 ) {
-    private val channels = ConcurrentHashMap<String, ManagedChannel>()
+    private val channels = ConcurrentHashMap<String, PeerChannel>()
 
     /** Creates a call to the daemon at [address] with a deadline of [timeoutMillis]. */
     fun <Q, R> newCall(
@@ -54,19 +55,31 @@
     /**
      * Sends [request] to the daemon at [address]. If that couldn't be reached before, this connects at once and waits
      * for the connection: whoever syncs paces its attempts itself, while gRPC waits longer after each failure, at last
-     * for two minutes.
+     * for two minutes. If the connection is silent all the while, the next sync uses a new one; gRPC would give up the
+     * silent one after seconds. The future fails with [SilentConnectionException] if it carried replies before.
      */
     fun sync(address: String, request: SyncRequest, timeoutMillis: Long): CompletableFuture<SyncReply> {
-        val channel = channel(address)
-        val isUnreachable = channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE
-        if (isUnreachable) channel.resetConnectBackoff()
-        return unary(
+        val peer = peerChannel(address)
+        val isUnreachable = peer.channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE
+        if (isUnreachable) peer.channel.resetConnectBackoff()
+        val startedAtNanos = System.nanoTime()
+        val result = CompletableFuture<SyncReply>()
+        unary(
             address = address,
             method = CoordinationMethods.SYNC,
             request = request,
             timeoutMillis = timeoutMillis,
             options = if (isUnreachable) CallOptions.DEFAULT.withWaitForReady() else CallOptions.DEFAULT,
-        )
+        ).whenComplete { reply, failure ->
+            val isSilent = failure != null && isTimeout(failure) && peer.isSilentSince(startedAtNanos)
+            if (isSilent) replace(address, peer)
+            when {
+                reply != null -> result.complete(reply).also { peer.hasReplied = true }
+                isSilent && peer.hasReplied -> result.completeExceptionally(SilentConnectionException(failure))
+                else -> result.completeExceptionally(failure)
+            }
+        }
+        return result
     }
 
     /** Sends [report] to the daemon at [address]. */
@@ -74,16 +87,31 @@
         unary(address, CoordinationMethods.REPORT_LOAD, report, REPORT_TIMEOUT_MILLIS)
 
     /** The channel to the daemon at [address]. */
-    fun channel(address: String): ManagedChannel = channels.computeIfAbsent(address) { open(it) }
+    fun channel(address: String): ManagedChannel = peerChannel(address).channel
 
     /** Closes all channels. */
     fun close() {
-        channels.values.forEach { it.shutdownNow() }
+        channels.values.forEach { it.channel.shutdownNow() }
+    }
+
+    private fun peerChannel(address: String): PeerChannel = channels.computeIfAbsent(address) { open(it) }
+
+    private fun isTimeout(failure: Throwable): Boolean = Status.fromThrowable(failure).code == Status.Code.DEADLINE_EXCEEDED
+
+    /** Ends the calls of [silent] too, so that whoever waits for their replies can turn to another daemon. */
+    private fun replace(address: String, silent: PeerChannel) {
+        if (channels.remove(address, silent)) silent.channel.shutdownNow()
+    }
+
+    private fun open(address: String): PeerChannel {
+        val reception = ReceptionMonitor()
+        return PeerChannel(channel = open(address, reception), reception = reception)
     }
 
-    private fun open(address: String): ManagedChannel = NettyChannelBuilder.forAddress(socketAddress(address))
+    private fun open(address: String, reception: ReceptionMonitor) = NettyChannelBuilder
+        .forAddress(socketAddress(address))
         .eventLoopGroup(group)
-        .channelFactory { openChannel() }
+        .channelFactory { openChannel().also { it.pipeline().addFirst(reception) } }
         .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .directExecutor()
         .disableRetry()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -92,8 +92,11 @@
         thread.whenDone(result) { reply, failure ->
             inFlight.remove(address)
             if (pulling == address) pulling = null
-            if (reply != null) onReply(address, reply, nowMillis)
-            if (failure != null) onFailure(address, failure)
+            when (failure) {
+                null -> reply?.let { onReply(address, it, nowMillis) }
+                is SilentConnectionException -> syncAgain(address, failure)
+                else -> onFailure(address, failure)
+            }
         }
     }
 
@@ -174,6 +177,16 @@
         }
     }
 
+    /** A daemon isn't to blame for a connection that has fallen silent; the next sync uses a new one. */
+    private fun syncAgain(address: String, failure: SilentConnectionException) {
+        log.info(
+            "A connection to a daemon was replaced.",
+            LogField("address", address),
+            LogField("reason", failure.message),
+        )
+        startSync(address, thread.nowMillis())
+    }
+
     private fun onFailure(address: String, failure: Throwable) {
         val nowMillis = thread.nowMillis()
         if (probes.recordFailure(address, nowMillis)) {
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
@@ -6,20 +6,36 @@
 import io.grpc.stub.ServerCalls
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeLessThan
+import io.kotest.matchers.shouldBe
 import io.netty.channel.EventLoopGroup
+import io.netty.channel.socket.nio.NioSocketChannel
+import org.bulrushtack.forward.testing.SilencingHandler
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.FreePorts
 import org.bulrushtack.protocol.CoordinationMethods
+import org.bulrushtack.protocol.DaemonRecord
 import org.bulrushtack.protocol.SyncReply
 import org.bulrushtack.protocol.SyncRequest
 import java.net.InetSocketAddress
+import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 class PeerConnectionsTest : AnnotationSpec() {
-    private val group: EventLoopGroup = EventLoops.create(threads = 1)
     private val port = FreePorts.find(count = 1).single()
-    private val testSubject = PeerConnections(group)
+    private val silencers = CopyOnWriteArrayList<SilencingHandler>()
+    private lateinit var group: EventLoopGroup
+    private lateinit var testSubject: PeerConnections
+
+    @BeforeEach
+    fun open() {
+        group = EventLoops.create(threads = 1)
+        silencers.clear()
+        testSubject = PeerConnections(group, openChannel = {
+            val silencer = SilencingHandler().also { silencers.add(it) }
+            NioSocketChannel().apply { pipeline().addFirst(silencer) }
+        })
+    }
 
     @AfterEach
     fun close() {
@@ -38,21 +54,58 @@
         val daemon = startDaemon()
         val returned = TimeSource.Monotonic.markNow()
 
-        while (!sync()) Thread.sleep(PAUSE_MILLIS)
+        awaitSync()
 
         val tookMillis = returned.elapsedNow().inWholeMilliseconds
         daemon.shutdownNow()
         tookMillis shouldBeLessThan LIMIT_MILLIS
     }
 
+    // Guards against a daemon that waits for gRPC's keep-alive, 13 s, before it leaves a connection over which nothing
+    // arrives any more.
+    @Test
+    fun `a daemon to which the connection has fallen silent is reached over a new one`() {
+        val daemon = startDaemon()
+        awaitSync()
+        silencers.forEach { it.isSilent = true }
+        val silentFrom = TimeSource.Monotonic.markNow()
+
+        awaitSync()
+
+        val tookMillis = silentFrom.elapsedNow().inWholeMilliseconds
+        daemon.shutdownNow()
+        tookMillis shouldBeLessThan LIMIT_MILLIS
+    }
+
+    // Guards against connections that are replaced, with all calls on them, because the peer answers one call late.
+    @Test
+    fun `a connection over which other replies arrive is kept`() {
+        val daemon = startDaemon(isAnswering = { it.sender.name != UNANSWERED })
+        awaitSync()
+
+        val late = testSubject.sync("127.0.0.1:$port", UNANSWERED_REQUEST, TIMEOUT_MILLIS)
+        while (!late.isDone) sync()
+
+        late.isCompletedExceptionally shouldBe true
+        silencers.size shouldBe 1
+        daemon.shutdownNow()
+    }
+
+    private fun awaitSync() {
+        val isReached = (1..MAXIMUM_SYNCS).any { sync().also { reached -> if (!reached) Thread.sleep(PAUSE_MILLIS) } }
+        isReached shouldBe true
+    }
+
     private fun sync(): Boolean = runCatching {
         testSubject.sync("127.0.0.1:$port", SyncRequest.getDefaultInstance(), TIMEOUT_MILLIS).get()
     }.isSuccess
 
-    private fun startDaemon(): Server {
-        val sync = ServerCalls.asyncUnaryCall<SyncRequest, SyncReply> { _, observer ->
-            observer.onNext(SyncReply.getDefaultInstance())
-            observer.onCompleted()
+    private fun startDaemon(isAnswering: (SyncRequest) -> Boolean = { true }): Server {
+        val sync = ServerCalls.asyncUnaryCall<SyncRequest, SyncReply> { request, observer ->
+            if (isAnswering(request)) {
+                observer.onNext(SyncReply.getDefaultInstance())
+                observer.onCompleted()
+            }
         }
         val service = ServerServiceDefinition.builder(CoordinationMethods.SERVICE_NAME)
             .addMethod(CoordinationMethods.SYNC, sync)
@@ -61,9 +114,13 @@
     }
 
     private companion object {
+        const val UNANSWERED = "unanswered"
+        val UNANSWERED_REQUEST: SyncRequest =
+            SyncRequest.newBuilder().setSender(DaemonRecord.newBuilder().setName(UNANSWERED)).build()
         val AWAY = 6_000.milliseconds
         const val PAUSE_MILLIS = 400L
         const val TIMEOUT_MILLIS = 350L
+        const val MAXIMUM_SYNCS = 50
 
         /** The users' bound on the time in which a change has to reach every daemon. */
         const val LIMIT_MILLIS = 2_000L
