--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
@@ -12,7 +12,7 @@
     @Volatile
     var hasReplied: Boolean = false
 
-    /** Whether a connection is open over which nothing was received since [nanoTime] of the system's monotonic clock. */
+    /** Whether a connection is open over which nothing was received since [nanoTime], a [System.nanoTime]. */
     fun isSilentSince(nanoTime: Long): Boolean =
         channel.getState(false) == ConnectivityState.READY && !reception.hasReceivedSince(nanoTime)
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
@@ -96,8 +96,6 @@
 
     private fun peerChannel(address: String): PeerChannel = channels.computeIfAbsent(address) { open(it) }
 
-    private fun isTimeout(failure: Throwable): Boolean = Status.fromThrowable(failure).code == Status.Code.DEADLINE_EXCEEDED
-
     /** Ends the calls of [silent] too, so that whoever waits for their replies can turn to another daemon. */
     private fun replace(address: String, silent: PeerChannel) {
         if (channels.remove(address, silent)) silent.channel.shutdownNow()
@@ -105,22 +103,20 @@
 
     private fun open(address: String): PeerChannel {
         val reception = ReceptionMonitor()
-        return PeerChannel(channel = open(address, reception), reception = reception)
+        val channel = NettyChannelBuilder.forAddress(socketAddress(address))
+            .eventLoopGroup(group)
+            .channelFactory { openChannel().also { it.pipeline().addFirst(reception) } }
+            .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .directExecutor()
+            .disableRetry()
+            .usePlaintext()
+            .maxInboundMessageSize(MAXIMUM_MESSAGE_BYTES)
+            .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
+            .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+            .build()
+        return PeerChannel(channel = channel, reception = reception)
     }
 
-    private fun open(address: String, reception: ReceptionMonitor) = NettyChannelBuilder
-        .forAddress(socketAddress(address))
-        .eventLoopGroup(group)
-        .channelFactory { openChannel().also { it.pipeline().addFirst(reception) } }
-        .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-        .directExecutor()
-        .disableRetry()
-        .usePlaintext()
-        .maxInboundMessageSize(MAXIMUM_MESSAGE_BYTES)
-        .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
-        .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-        .build()
-
     private fun socketAddress(address: String): InetSocketAddress =
         InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
 
@@ -144,6 +140,9 @@
     }
 }
 
+private fun isTimeout(failure: Throwable): Boolean =
+    Status.fromThrowable(failure).code == Status.Code.DEADLINE_EXCEEDED
+
 /** Less than the interval between two reports. */
 private const val REPORT_TIMEOUT_MILLIS = 450L
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/ReceptionMonitor.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/ReceptionMonitor.kt
@@ -10,7 +10,7 @@
     @Volatile
     private var receivedAtNanos = System.nanoTime()
 
-    /** Whether anything was received since [nanoTime] of the system's monotonic clock. */
+    /** Whether anything was received since [nanoTime], a [System.nanoTime]. */
     fun hasReceivedSince(nanoTime: Long): Boolean = receivedAtNanos - nanoTime >= 0
 
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
