Give up a connection to a daemon whose handshake is never answered

What callers would see: a daemon that connects to another one at the moment at which the network loses the connection, or the other machine its power, never hears of that daemon again. If it is the one that passes on the records, the configuration stays as it is until the daemon reads the store by itself, and for as long as the store refuses it.

Cause: gRPC limits the time to connect, not the time to the peer's first frame; its keep-alive starts only after that. The channel stays as connecting, and each sync waits for it.

Evidence: PeerConnectionsTest, a listener that accepts the connection and says nothing, then a daemon in its place at the same address. Now the channel is replaced with the first sync that times out 1 s after it was opened or last received anything; the test is green. A slow machine that needs several syncs for a handshake keeps its channel.

The tests of the class get a port each, since a port may not be free at once after a daemon's end.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
@@ -12,7 +12,16 @@
     @Volatile
     var hasReplied: Boolean = false
 
-    /** Whether a connection is open over which nothing was received since [nanoTime], a [System.nanoTime]. */
-    fun isSilentSince(nanoTime: Long): Boolean =
-        channel.getState(false) == ConnectivityState.READY && !reception.hasReceivedSince(nanoTime)
+    /**
+     * Whether nothing was received over the connection since [nanoTime], a [System.nanoTime]. gRPC sets no limit to the
+     * time for which it waits for the handshake of a new connection; a slow machine may need more than one call for it.
+     */
+    fun isSilentSince(nanoTime: Long): Boolean = when (channel.getState(false)) {
+        ConnectivityState.READY -> !reception.hasReceivedSince(nanoTime)
+        ConnectivityState.CONNECTING -> !reception.hasReceivedSince(System.nanoTime() - HANDSHAKE_NANOS)
+        else -> false
+    }
 }
+
+/** As long as callers wait for a new connection. */
+private const val HANDSHAKE_NANOS = 1_000_000_000L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
@@ -16,19 +16,22 @@
 import org.bulrushtack.protocol.DaemonRecord
 import org.bulrushtack.protocol.SyncReply
 import org.bulrushtack.protocol.SyncRequest
+import java.net.InetAddress
 import java.net.InetSocketAddress
+import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 class PeerConnectionsTest : AnnotationSpec() {
-    private val port = FreePorts.find(count = 1).single()
+    private var port = 0
     private val silencers = CopyOnWriteArrayList<SilencingHandler>()
     private lateinit var group: EventLoopGroup
     private lateinit var testSubject: PeerConnections
 
     @BeforeEach
     fun open() {
+        port = FreePorts.find(count = 1).single()
         group = EventLoops.create(threads = 1)
         silencers.clear()
         testSubject = PeerConnections(group, openChannel = {
@@ -77,6 +80,25 @@
         tookMillis shouldBeLessThan LIMIT_MILLIS
     }
 
+    // Guards against a daemon that waits for ever for the handshake of a connection that was lost right after it was
+    // accepted: gRPC has no time limit for it.
+    @Test
+    fun `a daemon is reached over a new connection where the handshake of the last one is never answered`() {
+        val unanswered = ServerSocket(port, 1, InetAddress.getLoopbackAddress())
+        repeat(HANDSHAKE_SYNCS) { sync().also { Thread.sleep(PAUSE_MILLIS) } }
+        val lost = unanswered.accept()
+        unanswered.close()
+        val daemon = startDaemon()
+        val returned = TimeSource.Monotonic.markNow()
+
+        awaitSync()
+
+        val tookMillis = returned.elapsedNow().inWholeMilliseconds
+        daemon.shutdownNow()
+        lost.close()
+        tookMillis shouldBeLessThan LIMIT_MILLIS
+    }
+
     // Guards against connections that are replaced, with all calls on them, because the peer answers one call late.
     @Test
     fun `a connection over which other replies arrive is kept`() {
@@ -122,6 +144,9 @@
         const val TIMEOUT_MILLIS = 350L
         const val MAXIMUM_SYNCS = 50
 
+        /** The syncs of more than a second. */
+        const val HANDSHAKE_SYNCS = 2
+
         /** The users' bound on the time in which a change has to reach every daemon. */
         const val LIMIT_MILLIS = 2_000L
     }
