Leave silent connections between daemons with all calls, not only with syncs

What callers would see: reports of load and of usage to the holder of the duties, releases of placements, and heartbeats between daemons with their own interface are lost for up to 13 s after a connection has fallen silent. The holder is often no daemon with which the others sync, so that syncs don't renew its connection.

The watch over the connection is moved into the one function that sends all such calls. Calls that already run on the silent connection are left to it, as streams of tokens run over it between daemons with their own interface; only a sync ends them.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
@@ -8,7 +8,7 @@
     val channel: ManagedChannel,
     private val reception: ReceptionMonitor,
 ) {
-    /** Whether a sync was ever answered over this channel. */
+    /** Whether a call was ever answered over this channel. */
     @Volatile
     var hasReplied: Boolean = false
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
@@ -38,7 +38,11 @@
     ): ClientCall<Q, R> =
         channel(address).newCall(method, options.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS))
 
-    /** Sends one request and returns its reply; the future fails with gRPC's own exception. */
+    /**
+     * Sends one request and returns its reply; the future fails with gRPC's own exception. If the connection is silent
+     * until the time is over, later calls use a new one, as gRPC would give up the silent one only after seconds. Calls
+     * that run on it are left to it.
+     */
     fun <Q, R> unary(
         address: String,
         method: MethodDescriptor<Q, R>,
@@ -46,40 +50,34 @@
         timeoutMillis: Long,
         options: CallOptions = CallOptions.DEFAULT,
     ): CompletableFuture<R> {
-        val result = CompletableFuture<R>()
-        val call = newCall(address = address, method = method, timeoutMillis = timeoutMillis, options = options)
-        ClientCalls.asyncUnaryCall(call, request, FutureObserver(result))
-        return result
+        val peer = peerChannel(address)
+        return unary(peer, method, request, options.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)) {
+            if (channels.remove(address, peer)) peer.channel.shutdown()
+            it
+        }
     }
 
     /**
      * Sends [request] to the daemon at [address]. If that couldn't be reached before, this connects at once and waits
      * for the connection: whoever syncs paces its attempts itself, while gRPC waits longer after each failure, at last
-     * for two minutes. If the connection is silent all the while, the next sync uses a new one; gRPC would give up the
-     * silent one after seconds. The future fails with [SilentConnectionException] if it carried replies before.
+     * for two minutes. If the connection is silent until the time is over, its other calls end too, so that whoever
+     * waits for their replies can turn to another daemon. The future then fails with [SilentConnectionException] if the
+     * connection carried replies before.
      */
     fun sync(address: String, request: SyncRequest, timeoutMillis: Long): CompletableFuture<SyncReply> {
         val peer = peerChannel(address)
         val isUnreachable = peer.channel.getState(false) == ConnectivityState.TRANSIENT_FAILURE
         if (isUnreachable) peer.channel.resetConnectBackoff()
-        val startedAtNanos = System.nanoTime()
-        val result = CompletableFuture<SyncReply>()
-        unary(
-            address = address,
+        val options = CallOptions.DEFAULT.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)
+        return unary(
+            peer = peer,
             method = CoordinationMethods.SYNC,
             request = request,
-            timeoutMillis = timeoutMillis,
-            options = if (isUnreachable) CallOptions.DEFAULT.withWaitForReady() else CallOptions.DEFAULT,
-        ).whenComplete { reply, failure ->
-            val isSilent = failure != null && isTimeout(failure) && peer.isSilentSince(startedAtNanos)
-            if (isSilent) replace(address, peer)
-            when {
-                reply != null -> result.complete(reply).also { peer.hasReplied = true }
-                isSilent && peer.hasReplied -> result.completeExceptionally(SilentConnectionException(failure))
-                else -> result.completeExceptionally(failure)
-            }
+            options = if (isUnreachable) options.withWaitForReady() else options,
+        ) {
+            if (channels.remove(address, peer)) peer.channel.shutdownNow()
+            if (peer.hasReplied) SilentConnectionException(it) else it
         }
-        return result
     }
 
     /** Sends [report] to the daemon at [address]. */
@@ -96,9 +94,24 @@
 
     private fun peerChannel(address: String): PeerChannel = channels.computeIfAbsent(address) { open(it) }
 
-    /** Ends the calls of [silent] too, so that whoever waits for their replies can turn to another daemon. */
-    private fun replace(address: String, silent: PeerChannel) {
-        if (channels.remove(address, silent)) silent.channel.shutdownNow()
+    private fun <Q, R> unary(
+        peer: PeerChannel,
+        method: MethodDescriptor<Q, R>,
+        request: Q,
+        options: CallOptions,
+        onSilence: (Throwable) -> Throwable,
+    ): CompletableFuture<R> {
+        val startedAtNanos = System.nanoTime()
+        val result = CompletableFuture<R>()
+        val observer = FutureObserver<R>(
+            onReply = { reply -> result.complete(reply).also { peer.hasReplied = true } },
+            onFailure = { failure ->
+                val isSilent = isTimeout(failure) && peer.isSilentSince(startedAtNanos)
+                result.completeExceptionally(if (isSilent) onSilence(failure) else failure)
+            },
+        )
+        ClientCalls.asyncUnaryCall(peer.channel.newCall(method, options), request, observer)
+        return result
     }
 
     private fun open(address: String): PeerChannel {
@@ -121,15 +134,12 @@
         InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
 
     private class FutureObserver<R>(
-        private val result: CompletableFuture<R>,
+        private val onReply: (R) -> Unit,
+        private val onFailure: (Throwable) -> Unit,
     ) : StreamObserver<R> {
-        override fun onNext(value: R) {
-            result.complete(value)
-        }
+        override fun onNext(value: R) = onReply(value)
 
-        override fun onError(cause: Throwable) {
-            result.completeExceptionally(cause)
-        }
+        override fun onError(cause: Throwable) = onFailure(cause)
 
         override fun onCompleted() = Unit
     }
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
@@ -14,6 +14,8 @@
 import org.bulrushtack.http.FreePorts
 import org.bulrushtack.protocol.CoordinationMethods
 import org.bulrushtack.protocol.DaemonRecord
+import org.bulrushtack.protocol.LoadReport
+import org.bulrushtack.protocol.LoadReportReply
 import org.bulrushtack.protocol.SyncReply
 import org.bulrushtack.protocol.SyncRequest
 import java.net.InetAddress
@@ -80,6 +82,22 @@
         tookMillis shouldBeLessThan LIMIT_MILLIS
     }
 
+    // Guards against reports to a daemon with which this one does not sync that are lost until gRPC's keep-alive.
+    @Test
+    fun `a report of load reaches a daemon although the connection has fallen silent`() {
+        val daemon = startDaemon()
+        awaitSync()
+        silencers.forEach { it.isSilent = true }
+        val silentFrom = TimeSource.Monotonic.markNow()
+
+        val isReported = (1..MAXIMUM_SYNCS).any { isReported() }
+
+        val tookMillis = silentFrom.elapsedNow().inWholeMilliseconds
+        daemon.shutdownNow()
+        isReported shouldBe true
+        tookMillis shouldBeLessThan LIMIT_MILLIS
+    }
+
     // Guards against a daemon that waits for ever for the handshake of a connection that was lost right after it was
     // accepted: gRPC has no time limit for it.
     @Test
@@ -118,6 +136,9 @@
         isReached shouldBe true
     }
 
+    private fun isReported(): Boolean =
+        runCatching { testSubject.reportLoad("127.0.0.1:$port", LoadReport.getDefaultInstance()).get() }.isSuccess
+
     private fun sync(): Boolean = runCatching {
         testSubject.sync("127.0.0.1:$port", SyncRequest.getDefaultInstance(), TIMEOUT_MILLIS).get()
     }.isSuccess
@@ -129,8 +150,13 @@
                 observer.onCompleted()
             }
         }
+        val report = ServerCalls.asyncUnaryCall<LoadReport, LoadReportReply> { _, observer ->
+            observer.onNext(LoadReportReply.getDefaultInstance())
+            observer.onCompleted()
+        }
         val service = ServerServiceDefinition.builder(CoordinationMethods.SERVICE_NAME)
             .addMethod(CoordinationMethods.SYNC, sync)
+            .addMethod(CoordinationMethods.REPORT_LOAD, report)
             .build()
         return NettyServerBuilder.forAddress(InetSocketAddress("127.0.0.1", port)).addService(service).build().start()
     }
