Apply only the newest record of each key that one read brings

A daemon that had missed several configurations decoded and applied each of them, the oldest first, on its network thread before the one in force. Peers never did so: a replica passes on the newest record of each key only.

Cause: TopicReplica.merge returned every record of a batch that is newer than the replica, also those that a later record of the same batch replaces. TopicReplicaTest showed it before: of the offsets 3, 1 and 2, where 3 replaces 1, all three counted as new.

Now the newest record of each key counts. Nothing is lost by it, since a record holds its key's whole value.

--- a/core/src/main/kotlin/org/bulrushtack/core/store/TopicReplica.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/TopicReplica.kt
@@ -12,10 +12,11 @@
     public var endOffset: Long = NO_OFFSET
         private set
 
-    /** Merges [batch] into the replica and returns the records that are new. */
+    /** Merges [batch] into the replica and returns the newest record of each key that has changed. */
     public fun merge(batch: RecordBatch): List<StoreRecord> {
         val deleted = if (batch.complete && batch.endOffset > endOffset) missing(batch) else emptyList()
-        val changed = (batch.records + deleted).filter { it.offset > (records[it.key]?.offset ?: NO_OFFSET) }
+        val newest = (batch.records + deleted).sortedBy { it.offset }.associateBy { it.key }.values
+        val changed = newest.filter { it.offset > (records[it.key]?.offset ?: NO_OFFSET) }
         changed.forEach { records[it.key] = it }
         if (batch.complete && completeFrom == NO_OFFSET) completeFrom = batch.endOffset
         endOffset = maxOf(endOffset, batch.endOffset)
--- a/core/src/test/kotlin/org/bulrushtack/core/store/TopicReplicaTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/store/TopicReplicaTest.kt
@@ -24,6 +24,16 @@
         testSubject.endOffset shouldBe 6
     }
 
+    // Guards against a daemon that falls further behind as it applies each of the configurations that it has missed.
+    @Test
+    fun `only the newest record of each key of a batch counts as new`() {
+        val records = listOf(record("config", 3), record("config", 1), record("evacuate/a", 2))
+
+        val changed = TopicReplica().merge(batch(*records.toTypedArray()))
+
+        changed.map { it.offset } shouldContainExactlyInAnyOrder listOf(2L, 3L)
+    }
+
     @Test
     fun `a key that is missing from a complete batch is deleted`() {
         val testSubject = TopicReplica()
