Ask other daemons as well while the leaders pass on no fresh records

Callers of a daemon that the store refuses would be treated by an older configuration for as long as the first two daemons in rank respond and know nothing new themselves, although other daemons have the news and can be reached.

Cause: a daemon syncs with the first two in rank, and with those it has heard nothing of for 1.6 s. Leaders that the store refuses get records by a connection of their own to the daemon that has them. If this can't be opened, while that daemon's own syncs still arrive, they report it as live: the refused daemon never asks it. If both directions are cut, it asks only when it takes the others for gone, every two seconds.

Now a daemon whose replica is so old that it would take turns at reading the store syncs with three more daemons each time, going round all of them from the next one in rank. Leaders then get the news from it as well. While the replica is fresh nothing changes.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -16,7 +16,7 @@
 
 /**
  * Syncs with peers: sends this daemon's state to the leader and to the next daemon in rank, applies their
- * replies, and handles the sync requests of others.
+ * replies, and handles the sync requests of others. While the replica is stale, it syncs with other daemons as well.
  */
 internal class PeerSync(
     private val daemons: DaemonTable,
@@ -30,6 +30,7 @@
     private val inFlight = HashSet<String>()
     private val views = PeerViews(daemons)
     private val positions = TopicPositions(replica)
+    private val fallbacks = FallbackPeers()
     private var pulling: String? = null
 
     /** The clock to keep with the peers, or null where no duties need one. */
@@ -49,13 +50,18 @@
                 LogField("address", expired.peerAddress),
             )
         }
-        val leaders = daemons.ranked(nowMillis).take(SYNCED_LEADERS).map { it.peerAddress }
+        val ranked = daemons.ranked(nowMillis)
+        val leaders = ranked.take(SYNCED_LEADERS).map { it.peerAddress }
         val unseen = daemons.unseenAddresses(nowMillis).filter { probes.isDue(it, nowMillis) }.take(PROBES_PER_TICK)
         val unranked = daemons.live(nowMillis).filter { it.rank == null }.take(PROBES_PER_TICK)
-        val due = leaders + unranked.map { it.peerAddress } + unseen
+        val fallback = if (replica.isStale) fallbackPeers(ranked) else emptyList()
+        val due = leaders + (unranked + fallback).map { it.peerAddress } + unseen
         (due - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { startSync(it, nowMillis) }
     }
 
+    private fun fallbackPeers(ranked: List<DaemonInfo>): List<DaemonInfo> =
+        fallbacks.next(order = ranked.drop(SYNCED_LEADERS), self = daemons.self, count = FALLBACKS_PER_TICK)
+
     /** Applies the state that a peer sends and returns the reply. */
     fun handle(request: SyncRequest): SyncReply {
         val nowMillis = thread.nowMillis()
@@ -196,5 +202,8 @@
 /** Keeps many daemons that start together from all syncing with one another. */
 private const val PROBES_PER_TICK = 3
 
+/** Another data centre's daemons are found within two syncs, also if the first ones have no fresh records either. */
+private const val FALLBACKS_PER_TICK = 3
+
 /** About ten round trips between data centres; a slower daemon should not place work. */
 private const val SYNC_TIMEOUT_MILLIS = 350L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -169,4 +169,4 @@
 )
 
 /** Two missed syncs after the last read. */
-private const val PASSING_ON_MILLIS = 600L
+internal const val PASSING_ON_MILLIS = 600L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -57,6 +57,10 @@
     fun ageMillis(topic: StoreTopic): Long =
         topics.getValue(topic).confirmedAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
 
+    /** Whether the records of any polled topic should have been refreshed by now, by the store or by other daemons. */
+    val isStale: Boolean
+        get() = POLL_INTERVALS_MILLIS.any { (topic, millis) -> ageMillis(topic) >= millis + PASSING_ON_MILLIS }
+
     /** The offset that follows the last known record of [topic], or -1. */
     fun endOffset(topic: StoreTopic): Long = topics.getValue(topic).replica.endOffset
 
