HttpClient: one call without a reply takes all silent pooled connections out of use

What callers would see: requests handled as an older configuration allows, at a daemon that the store serves, whose open connections to the store have fallen silent (new ones work) while the store refuses the other daemons. Cause: a call that times out closed its own connection only. The next one took the next idle connection, which was as silent. A daemon holds 1 to 4 idle connections to the store (counted in a trial), and where it takes turns at reading, each turn used up one.

A request that times out on a pooled connection on which nothing has arrived since it was sent now closes the idle connections of which the same holds, before the timeout is reported. Those on which another response has come since stay, as do all where a response has begun or the caller gives up. Nothing changes where no request times out.

--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -60,6 +60,9 @@
 
     override val isSent: Boolean get() = progress.isSent
 
+    /** The connection that is to bring the response, or null if there is none yet or no longer. */
+    val awaitedChannel: Channel? get() = channel.takeUnless { progress.isFinished }
+
     override fun cancel() = abort(reason = "cancelled")
 
     /**
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -19,13 +19,12 @@
 import java.net.ConnectException
 import java.net.SocketException
 import java.util.concurrent.CompletableFuture
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.ConcurrentLinkedDeque
 import java.util.concurrent.TimeUnit
 
 /**
  * An HTTP/1.1 client that pools idle connections for requests that need no dedicated one. A response that is malformed
- * is no response: its request fails with an unknown outcome, and its connection is closed.
+ * is no response: its request fails with an unknown outcome, and its connection is closed. A request that times out
+ * without any reply on a pooled connection also closes the pooled connections that have been idle for longer.
  */
 public class HttpClient(
     private val group: EventLoopGroup,
@@ -34,17 +33,18 @@
     private val malformedResponses: MalformedResponseObserver = LoggingMalformedResponseObserver,
     private val connectObserver: ConnectObserver = object : ConnectObserver {},
 ) {
-    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
+    private val idle = IdleConnections()
 
     /** Sends [request] and passes the response to [listener]. */
     public fun send(request: ClientRequest, listener: ResponseListener): ClientCall {
+        val sentAtNanos = System.nanoTime()
         val call = ClientExchange(
             request = request,
             listener = listener,
-            onIdle = ::returnIdle,
+            onIdle = idle::add,
             malformedResponses = malformedResponses,
         )
-        val pooled = if (request.dedicatedConnection) null else takeIdle(request.address)
+        val pooled = if (request.dedicatedConnection) null else idle.take(request.address)
         val address = HostAndPort.parse(request.address)
         when {
             pooled != null -> pooled.eventLoop().execute { call.start(pooled) }
@@ -55,7 +55,7 @@
             }
         }
         request.timeoutMillis?.let { millis ->
-            group.next().schedule({ call.abort(reason = "timed out") }, millis, TimeUnit.MILLISECONDS)
+            group.next().schedule({ timeOut(call, request.address, sentAtNanos) }, millis, TimeUnit.MILLISECONDS)
         }
         return call
     }
@@ -67,6 +67,13 @@
         return collector.result
     }
 
+    /** Silent connections are closed before the timeout is reported, since the next request may be sent at once. */
+    private fun timeOut(call: ClientExchange, address: String, sentAtNanos: Long) {
+        val isSilent = call.awaitedChannel?.let { ReceptionTimeHandler.isSilentSince(it, sentAtNanos) } ?: false
+        if (isSilent) idle.closeSilent(address, sentAtNanos)
+        call.abort(reason = "timed out")
+    }
+
     /** Opens a connection to [address], closes it without a request, and returns whether the address is reachable. */
     public fun probe(address: String): CompletableFuture<Boolean> {
         val target = HostAndPort.parse(address) ?: return CompletableFuture.completedFuture(false)
@@ -99,6 +106,7 @@
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 channel.pipeline()
+                    .addLast(ReceptionTimeHandler())
                     .addLast(ResponseSizeLimiter())
                     .addLast(ResponseSyntaxHandler())
                     .addLast(HttpClientCodec())
@@ -112,14 +120,6 @@
             }
         }
 
-    private fun takeIdle(address: String): Channel? =
-        generateSequence { idle[address]?.pollFirst() }.firstOrNull { it.isActive }
-
-    private fun returnIdle(address: String, channel: Channel) {
-        val pool = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
-        if (pool.size < MAXIMUM_IDLE_PER_ADDRESS) pool.addFirst(channel) else channel.close()
-    }
-
     private class Collector : ResponseListener {
         val result = CompletableFuture<Either<HttpFailure, HttpMessageResponse>>()
         private val body = ByteArrayOutputStream()
@@ -150,7 +150,6 @@
 }
 
 private const val DEFAULT_CONNECT_TIMEOUT_MILLIS = 1_000
-private const val MAXIMUM_IDLE_PER_ADDRESS = 16
 private const val MINIMUM_READ_BYTES = 512
 private const val FIRST_READ_BYTES = 2_048
 private const val MAXIMUM_READ_BYTES = 16_384
