--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -30,7 +30,7 @@
     private val inFlight = HashSet<String>()
     private val views = PeerViews(daemons)
     private val positions = TopicPositions(replica)
-    private val fallbacks = FallbackPeers()
+    private val targets = SyncTargets(daemons = daemons, replica = replica, probes = probes)
     private var pulling: String? = null
 
     /** The clock to keep with the peers, or null where no duties need one. */
@@ -50,18 +50,9 @@
                 LogField("address", expired.peerAddress),
             )
         }
-        val ranked = daemons.ranked(nowMillis)
-        val leaders = ranked.take(SYNCED_LEADERS).map { it.peerAddress }
-        val unseen = daemons.unseenAddresses(nowMillis).filter { probes.isDue(it, nowMillis) }.take(PROBES_PER_TICK)
-        val unranked = daemons.live(nowMillis).filter { it.rank == null }.take(PROBES_PER_TICK)
-        val fallback = if (replica.isStale) fallbackPeers(ranked) else emptyList()
-        val due = leaders + (unranked + fallback).map { it.peerAddress } + unseen
-        (due - daemons.self.peerAddress).toSet().filter { it !in inFlight }.forEach { startSync(it, nowMillis) }
+        targets.due(nowMillis).filter { it !in inFlight }.forEach { startSync(it, nowMillis) }
     }
 
-    private fun fallbackPeers(ranked: List<DaemonInfo>): List<DaemonInfo> =
-        fallbacks.next(order = ranked.drop(SYNCED_LEADERS), self = daemons.self, count = FALLBACKS_PER_TICK)
-
     /** Applies the state that a peer sends and returns the reply. */
     fun handle(request: SyncRequest): SyncReply {
         val nowMillis = thread.nowMillis()
@@ -126,7 +117,7 @@
         observe(nowMillis = nowMillis, record = reply.sender, direct = true)
         probes.recordSuccess(reply.sender.peerAddress)
         trueTime?.onReply(reply.sender.name, reply.trueTimeMillis, sentAtMillis)
-        val isLeader = daemons.ranked(nowMillis).take(SYNCED_LEADERS).any { it.peerAddress == address }
+        val isLeader = targets.leaders(nowMillis).any { it.peerAddress == address }
         if (isLeader) plainLoads?.onReply(reply)
         val reported = views.applyReply(address, reply, sentAtMillis)
         val newlyLive = reported.filterNot { it.name == daemons.self.name || daemons.isLive(it.name, sentAtMillis) }
@@ -209,14 +200,5 @@
 /** The most daemons that one log line names. */
 private const val MAXIMUM_LOGGED_NAMES = 8
 
-/** The leader and the next daemon in rank. */
-private const val SYNCED_LEADERS = 2
-
-/** Keeps many daemons that start together from all syncing with one another. */
-private const val PROBES_PER_TICK = 3
-
-/** Another data centre's daemons are found within two syncs, also if the first ones have no fresh records either. */
-private const val FALLBACKS_PER_TICK = 3
-
 /** About ten round trips between data centres; a slower daemon should not place work. */
 private const val SYNC_TIMEOUT_MILLIS = 350L
