Round up the ages that daemons tell one another

What callers could see: a daemon that believes its records to be fresher than they are begins later to read the store by itself.

Cause: the sender of an age and its receiver count whole milliseconds, and each may lose up to one. An age that is passed on and comes back was younger than the one that was sent, so that all replicas grew old more slowly than the time passed.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/TopicPositions.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/TopicPositions.kt
@@ -17,14 +17,14 @@
             TopicPosition.newBuilder()
                 .setTopic(topic.name)
                 .setEndOffset(replica.endOffset(topic))
-                .setAgeMillis(maxOf(1, replica.ageMillis(topic))),
+                .setAgeMillis(replica.announcedAgeMillis(topic)),
         )
     }
 
     /** Adds to [reply] the records that the sender of [request] lacks. */
     fun addBatches(reply: SyncReply.Builder, request: SyncRequest) = request.positionsList.forEach { position ->
         val topic = topic(position)
-        val ageMillis = topic?.let { replica.ageMillis(it) } ?: Long.MAX_VALUE
+        val ageMillis = topic?.let { replica.announcedAgeMillis(it) } ?: Long.MAX_VALUE
         if (topic != null && ageMillis != Long.MAX_VALUE) {
             val missing = replica.since(topic, position.endOffset)
             val batch = missing ?: EMPTY_BATCH.copy(endOffset = minOf(position.endOffset, replica.endOffset(topic)))
@@ -45,4 +45,13 @@
         StoreTopic.entries.firstOrNull { it.name == position.topic && it.isReplicated }
 }
 
+/**
+ * The age of [topic] to tell other daemons, or [Long.MAX_VALUE] before the first read. Sender and receiver count whole
+ * milliseconds and may each lose one; an age that is passed on and comes back would get younger.
+ */
+internal fun StoreReplica.announcedAgeMillis(topic: StoreTopic): Long =
+    ageMillis(topic).let { if (it == Long.MAX_VALUE) it else it + ROUNDED_MILLIS }
+
+/** What the two daemons may lose that pass on an age. */
+private const val ROUNDED_MILLIS = 2L
 private val EMPTY_BATCH = RecordBatch(records = emptyList(), complete = false, endOffset = 0)
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -3,6 +3,7 @@
 import io.kotest.assertions.withClue
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.ints.shouldBeAtMost
+import io.kotest.matchers.longs.shouldBeAtLeast
 import io.kotest.matchers.shouldBe
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.testing.FakeFollowers
@@ -83,6 +84,20 @@
             }
         }
 
+    // Guards against replicas that count as fresh although nobody reads the store, since each daemon that passes an age
+    // on rounds it down, and the others pass it back.
+    @Test
+    fun `records that nobody reads get old however often the daemons pass them on`() =
+        forEachSystem(sizes = listOf(SMALL, LARGE), link = FakeFollowers.Link.SAME_HOST) { system, _ ->
+            system.store.refuses = { true }
+            system.advance(CALM_MILLIS)
+            val ageMillis = system.youngestAgeMillis(StoreTopic.OPERATOR)
+
+            system.advance(OUTAGE_MILLIS)
+
+            system.youngestAgeMillis(StoreTopic.OPERATOR) shouldBeAtLeast ageMillis + OUTAGE_MILLIS
+        }
+
     // Guards against several daemons that go on reading in place of one that is turned away.
     @Test
     fun `one daemon reads while the first ones are turned away`() = forEachSystem(SIZES - SINGLE) { system, _ ->
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
@@ -9,6 +9,7 @@
 import org.bulrushtack.core.store.StoreUpdate
 import org.bulrushtack.forward.ForwardMetrics
 import org.bulrushtack.forward.log.EventLogs
+import org.bulrushtack.forward.peer.announcedAgeMillis
 import org.bulrushtack.forward.store.StoreFollower
 import kotlin.random.Random
 
@@ -41,6 +42,9 @@
     /** Removes the entry of the backend server [id]. */
     fun remove(id: String): Long = store.append(StoreTopic.BACKEND_SERVERS, key = id, value = null)
 
+    /** The age of the freshest replica of [topic], as its daemon takes it. */
+    fun youngestAgeMillis(topic: StoreTopic): Long = daemons.minOf { it.replica.ageMillis(topic) }
+
     /** Runs all daemons for [millis]. */
     fun advance(millis: Int) = repeat(millis) {
         time.advance(1)
@@ -91,7 +95,7 @@
         private fun sync() = leaders().filter { it !== this && it.stoppedMillis == 0 }.forEach { leader ->
             val isAhead = StoreTopic.entries.any {
                 val isFirst = leader === leaders().first()
-                leader.replica.isBehind(it, replica.endOffset(it), replica.ageMillis(it), isFirst)
+                leader.replica.isBehind(it, replica.endOffset(it), replica.announcedAgeMillis(it), isFirst)
             }
             copyFrom(leader)
             if (isAhead && !leader.pulls) leader.pullFrom(this)
@@ -104,7 +108,7 @@
         }
 
         private fun copyFrom(other: Daemon) = StoreTopic.entries.forEach { topic ->
-            val ageMillis = other.replica.ageMillis(topic)
+            val ageMillis = other.replica.announcedAgeMillis(topic)
             val batch = other.replica.since(topic, replica.endOffset(topic))
             if (ageMillis != Long.MAX_VALUE && other.replica.endOffset(topic) >= replica.endOffset(topic)) {
                 val merged = batch ?: EMPTY.copy(endOffset = replica.endOffset(topic))
