Go on reading for the others when only the echo of the own read comes back

Callers would have seen a configuration or a leaving server later than the users' bound of 2 s while the store refuses most daemons: the one that reads in place of those stopped again and again, and nobody read until replicas were 1.1 s old and a turn came round.

Cause: a daemon that reads in place of others stops once another one has read later, which it sees from the age of its replica. Ages are passed on in whole milliseconds and lose one or two at each daemon where a sync takes less. So the own read came back as one that was 1 ms or more later.

A margin at the reader also holds for ages that daemons of older builds pass on.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -54,7 +54,8 @@
 
     /** Goes on reading in place of the usual daemon unless another one has read later. */
     private fun continuePoll(topic: StoreTopic, poll: Poll, nowMillis: Long) {
-        if (replica.ageMillis(topic) < nowMillis - poll.sentAtMillis) poll.replacesReader = false
+        val readMillis = nowMillis - poll.sentAtMillis
+        if (replica.ageMillis(topic) < readMillis - ROUNDING_MILLIS) poll.replacesReader = false
         if (poll.replacesReader) startPoll(topic, poll, nowMillis)
     }
 
@@ -168,5 +169,11 @@
     StoreTopic.CRASHES to CRASHES_POLL_INTERVAL_MILLIS,
 )
 
+/**
+ * Each daemon that passes an age on may round it down by a millisecond or two, so that this daemon's own read comes
+ * back from the others as a slightly later one. Less than the times vary at which daemons go on reading.
+ */
+private const val ROUNDING_MILLIS = 25L
+
 /** Two missed syncs after the last read. */
 private const val PASSING_ON_MILLIS = 600L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -12,10 +12,11 @@
     /** Runs [check] for small and large systems and several seeds, each after five calm seconds. */
     private fun forEachSystem(
         sizes: List<Int> = SIZES,
+        link: FakeFollowers.Link = FakeFollowers.Link.BETWEEN_DATA_CENTRES,
         check: (system: FakeFollowers, daemons: Int) -> Unit,
     ) = sizes.forEach { daemons ->
         (1..SEEDS).forEach { seed ->
-            val system = FakeFollowers(count = daemons, seed = seed)
+            val system = FakeFollowers(count = daemons, seed = seed, link = link)
             StoreTopic.entries.forEach { system.store.append(it) }
             system.advance(CALM_MILLIS)
             withClue("$daemons daemons, seed $seed") { check(system, daemons) }
@@ -66,6 +67,22 @@
             }
         }
 
+    // Guards against a daemon that takes the echo of its own read for a later one and stops reading for the others.
+    @Test
+    fun `news reach all daemons in time over fast links while the store serves the last two`() =
+        forEachSystem(sizes = listOf(SMALL), link = FakeFollowers.Link.SAME_HOST) { system, daemons ->
+            system.store.refuses = { it < daemons - SERVED }
+            system.advance(CALM_MILLIS)
+            repeat(MANY_CHANGES) { change ->
+                val endOffset = system.store.append(StoreTopic.OPERATOR)
+
+                val millis = system.millisUntilKnown(StoreTopic.OPERATOR, endOffset, LATE_MILLIS)
+
+                withClue("change $change") { millis shouldBeAtMost limitMillis(daemons) }
+                system.advance(SHORT_PAUSE_MILLIS)
+            }
+        }
+
     // Guards against several daemons that go on reading in place of one that is turned away.
     @Test
     fun `one daemon reads while the first ones are turned away`() = forEachSystem(SIZES - SINGLE) { system, _ ->
@@ -104,8 +121,9 @@
 
     private companion object {
         const val SINGLE = 1
+        const val SMALL = 7
         const val LARGE = 140
-        val SIZES = listOf(SINGLE, 7, LARGE)
+        val SIZES = listOf(SINGLE, SMALL, LARGE)
         const val SEEDS = 3
         const val CALM_MILLIS = 5_000
         const val OUTAGE_MILLIS = 20_000
@@ -113,6 +131,9 @@
         const val TURNED_AWAY = 3
         const val CHANGES = 5
         const val PAUSE_MILLIS = 300
+        const val SERVED = 2
+        const val MANY_CHANGES = 20
+        const val SHORT_PAUSE_MILLIS = 130
 
         /** The time in which a change of the configuration has to reach every daemon. */
         const val LIMIT_MILLIS = 2_000
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
@@ -15,10 +15,13 @@
 /**
  * The followers of [count] daemons with one store. Each syncs every 400 ms with the first two daemons, as
  * `PeerSync` does, and each of these gets the records of one daemon that is ahead of it.
+ *
+ * @param link how long a sync takes, and how exactly the daemons measure that
  */
 internal class FakeFollowers(
     private val count: Int,
     seed: Int,
+    private val link: Link = Link.BETWEEN_DATA_CENTRES,
 ) {
     private val random = Random(seed)
     private val time = FakeTime()
@@ -97,7 +100,7 @@
         private fun pullFrom(other: Daemon) {
             pulls = true
             copyFrom(other)
-            time.thread.schedule(ROUND_TRIP_MILLIS) { pulls = false }
+            time.thread.schedule(link.roundTripMillis) { pulls = false }
         }
 
         private fun copyFrom(other: Daemon) = StoreTopic.entries.forEach { topic ->
@@ -105,8 +108,8 @@
             val batch = other.replica.since(topic, replica.endOffset(topic))
             if (ageMillis != Long.MAX_VALUE && other.replica.endOffset(topic) >= replica.endOffset(topic)) {
                 val merged = batch ?: EMPTY.copy(endOffset = replica.endOffset(topic))
-                time.thread.schedule(ROUND_TRIP_MILLIS) {
-                    replica.merge(topic, merged, ageMillis + ROUND_TRIP_MILLIS, source = "vm")
+                time.thread.schedule(link.roundTripMillis) {
+                    replica.merge(topic, merged, ageMillis + link.measuredMillis, source = "vm")
                 }
             }
         }
@@ -129,14 +132,22 @@
         )
     }
 
+    /** A sync takes [roundTripMillis]; the daemons find [measuredMillis] on their clocks. */
+    enum class Link(
+        val roundTripMillis: Long,
+        val measuredMillis: Long,
+    ) {
+        BETWEEN_DATA_CENTRES(roundTripMillis = 60, measuredMillis = 60),
+
+        /** Less than one millisecond, which clocks that count whole ones may round to none. */
+        SAME_HOST(roundTripMillis = 1, measuredMillis = 0),
+    }
+
     private companion object {
         const val TICK_MILLIS = 100
         const val SYNC_MILLIS = 400
         const val LEADERS = 2
         const val UNRESPONSIVE_MILLIS = 750
-
-        /** Between two data centres. */
-        const val ROUND_TRIP_MILLIS = 60L
         val EMPTY = RecordBatch(records = emptyList(), complete = false, endOffset = 0)
     }
 }
