--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerChannel.kt
@@ -2,6 +2,7 @@
 
 import io.grpc.ConnectivityState
 import io.grpc.ManagedChannel
+import org.bulrushtack.http.ReceptionMonitor
 
 /** The gRPC channel to the daemon at one address, with what is known of its connection. */
 internal class PeerChannel(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
+import org.bulrushtack.http.ReceptionMonitor
 import org.bulrushtack.protocol.CoordinationMethods
 import org.bulrushtack.protocol.LoadReport
 import org.bulrushtack.protocol.LoadReportReply
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -69,7 +69,7 @@
 
     /** Silent connections are closed before the timeout is reported, since the next request may be sent at once. */
     private fun timeOut(call: ClientExchange, address: String, sentAtNanos: Long) {
-        val isSilent = call.awaitedChannel?.let { ReceptionTimeHandler.isSilentSince(it, sentAtNanos) } ?: false
+        val isSilent = call.awaitedChannel?.let { IdleConnections.isSilentSince(it, sentAtNanos) } ?: false
         if (isSilent) idle.closeSilent(address, sentAtNanos)
         call.abort(reason = "timed out")
     }
@@ -106,7 +106,7 @@
         .handler(object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 channel.pipeline()
-                    .addLast(ReceptionTimeHandler())
+                    .addLast(ReceptionMonitor())
                     .addLast(ResponseSizeLimiter())
                     .addLast(ResponseSyntaxHandler())
                     .addLast(HttpClientCodec())
--- a/http/src/main/kotlin/org/bulrushtack/http/IdleConnections.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/IdleConnections.kt
@@ -18,11 +18,19 @@
         if (channels.size < MAXIMUM_PER_ADDRESS) channels.addFirst(channel) else channel.close()
     }
 
-    /** Closes the connections to [address] on which nothing has arrived since [nanos] (of the system's nano time). */
-    fun closeSilent(address: String, nanos: Long) {
+    /** Closes the connections to [address] that were open at [nanoTime], a [System.nanoTime], and silent since. */
+    fun closeSilent(address: String, nanoTime: Long) {
         val channels = byAddress[address] ?: return
         // Only the thread that removes a connection may close it; another one may just have taken it for a request.
-        channels.filter { ReceptionTimeHandler.isSilentSince(it, nanos) && channels.remove(it) }.forEach { it.close() }
+        channels.filter { isSilentSince(it, nanoTime) && channels.remove(it) }.forEach { it.close() }
+    }
+
+    companion object {
+        /** Whether [channel] was open at [nanoTime], a [System.nanoTime], and nothing has arrived on it since. */
+        fun isSilentSince(channel: Channel, nanoTime: Long): Boolean {
+            val monitor = channel.pipeline().get(ReceptionMonitor::class.java)
+            return monitor != null && !monitor.hasReceivedSince(nanoTime)
+        }
     }
 }
 
