--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/FallbackPeers.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/FallbackPeers.kt
@@ -9,12 +9,15 @@
 internal class FallbackPeers {
     private var asked = 0
 
-    /** The next [count] daemons after [self] in [order], without it; the choices go round all of them in turn. */
+    /** The next [count] of the [MAXIMUM_PEERS] daemons that follow [self] in [order], which are chosen in turn. */
     fun next(order: List<DaemonInfo>, self: DaemonInfo, count: Int): List<DaemonInfo> {
         val start = order.indexOfFirst { it.name == self.name } + 1
-        val others = (order.drop(start) + order.take(start)).filter { it.name != self.name }
+        val others = (order.drop(start) + order.take(start)).filter { it.name != self.name }.take(MAXIMUM_PEERS)
         val chosen = List(minOf(count, others.size)) { others[(asked + it) % others.size] }
         asked = if (others.isEmpty()) 0 else (asked + chosen.size) % others.size
         return chosen
     }
 }
+
+/** In a large system, connections to all others would cost more sockets than a daemon has. */
+private const val MAXIMUM_PEERS = 12
