Give slow machines longer for each further handshake, and leave running calls to a silent connection

The limit for the handshake doubles with each connection that doesn't get through it, from 1 s up to 16 s. A channel that was found silent stays so for all calls on it.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerConnections.kt
@@ -40,9 +40,9 @@
         channel(address).newCall(method, options.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS))
 
     /**
-     * Sends one request and returns its reply; the future fails with gRPC's own exception. If the connection is silent
-     * until the time is over, later calls use a new one, as gRPC would give up the silent one only after seconds. Calls
-     * that run on it are left to it.
+     * Sends one request and returns its reply; the future fails with gRPC's own exception or, as for [sync], with
+     * [SilentConnectionException]. If the connection is silent until the time is over, later calls use a new one, as
+     * gRPC would give up the silent one only after seconds.
      */
     fun <Q, R> unary(
         address: String,
@@ -51,19 +51,15 @@
         timeoutMillis: Long,
         options: CallOptions = CallOptions.DEFAULT,
     ): CompletableFuture<R> {
-        val peer = peerChannel(address)
-        return unary(peer, method, request, options.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)) {
-            if (channels.remove(address, peer)) peer.channel.shutdown()
-            it
-        }
+        val callOptions = options.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)
+        return unary(address, peerChannel(address), method, request, callOptions)
     }
 
     /**
      * Sends [request] to the daemon at [address]. If that couldn't be reached before, this connects at once and waits
      * for the connection: whoever syncs paces its attempts itself, while gRPC waits longer after each failure, at last
-     * for two minutes. If the connection is silent until the time is over, its other calls end too, so that whoever
-     * waits for their replies can turn to another daemon. The future then fails with [SilentConnectionException] if the
-     * connection carried replies before.
+     * for two minutes. If the connection is silent until the time is over, the future fails with
+     * [SilentConnectionException], provided that it carried replies before.
      */
     fun sync(address: String, request: SyncRequest, timeoutMillis: Long): CompletableFuture<SyncReply> {
         val peer = peerChannel(address)
@@ -71,14 +67,12 @@
         if (isUnreachable) peer.channel.resetConnectBackoff()
         val options = CallOptions.DEFAULT.withDeadlineAfter(timeoutMillis, TimeUnit.MILLISECONDS)
         return unary(
+            address = address,
             peer = peer,
             method = CoordinationMethods.SYNC,
             request = request,
             options = if (isUnreachable) options.withWaitForReady() else options,
-        ) {
-            if (channels.remove(address, peer)) peer.channel.shutdownNow()
-            if (peer.hasReplied) SilentConnectionException(it) else it
-        }
+        )
     }
 
     /** Sends [report] to the daemon at [address]. */
@@ -93,14 +87,15 @@
         channels.values.forEach { it.channel.shutdownNow() }
     }
 
-    private fun peerChannel(address: String): PeerChannel = channels.computeIfAbsent(address) { open(it) }
+    private fun peerChannel(address: String): PeerChannel =
+        channels.computeIfAbsent(address) { open(it, FIRST_HANDSHAKE_NANOS) }
 
     private fun <Q, R> unary(
+        address: String,
         peer: PeerChannel,
         method: MethodDescriptor<Q, R>,
         request: Q,
         options: CallOptions,
-        onSilence: (Throwable) -> Throwable,
     ): CompletableFuture<R> {
         val startedAtNanos = System.nanoTime()
         val result = CompletableFuture<R>()
@@ -108,18 +103,27 @@
             onReply = { reply -> result.complete(reply).also { peer.hasReplied = true } },
             onFailure = { failure ->
                 val isSilent = isTimeout(failure) && peer.isSilentSince(startedAtNanos)
-                result.completeExceptionally(if (isSilent) onSilence(failure) else failure)
+                if (isSilent) replace(address, peer)
+                val isLost = isSilent && peer.hasReplied
+                result.completeExceptionally(if (isLost) SilentConnectionException(failure) else failure)
             },
         )
         ClientCalls.asyncUnaryCall(peer.channel.newCall(method, options), request, observer)
         return result
     }
 
-    private fun open(address: String): PeerChannel {
+    /** Calls that run on [silent] are left to it. A slow peer gets twice the time for the next handshake. */
+    private fun replace(address: String, silent: PeerChannel) {
+        val handshakeNanos =
+            if (silent.hasReplied) FIRST_HANDSHAKE_NANOS else minOf(2 * silent.handshakeNanos, LONGEST_HANDSHAKE_NANOS)
+        if (channels.replace(address, silent, open(address, handshakeNanos))) silent.channel.shutdown()
+    }
+
+    private fun open(address: String, handshakeNanos: Long): PeerChannel {
         val reception = ReceptionMonitor()
         val channel = NettyChannelBuilder.forAddress(socketAddress(address))
             .eventLoopGroup(group)
-            .channelFactory { openChannel().also { it.pipeline().addFirst(reception) } }
+            .channelFactory { openChannel().also { it.pipeline().addLast(reception) } }
             .withOption(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
             .directExecutor()
             .disableRetry()
@@ -128,12 +132,9 @@
             .keepAliveTime(KEEP_ALIVE_SECONDS, TimeUnit.SECONDS)
             .keepAliveTimeout(KEEP_ALIVE_TIMEOUT_SECONDS, TimeUnit.SECONDS)
             .build()
-        return PeerChannel(channel = channel, reception = reception)
+        return PeerChannel(channel = channel, reception = reception, handshakeNanos = handshakeNanos)
     }
 
-    private fun socketAddress(address: String): InetSocketAddress =
-        InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
-
     private class FutureObserver<R>(
         private val onReply: (R) -> Unit,
         private val onFailure: (Throwable) -> Unit,
@@ -151,12 +152,19 @@
     }
 }
 
+private fun socketAddress(address: String): InetSocketAddress =
+    InetSocketAddress(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+
 private fun isTimeout(failure: Throwable): Boolean =
     Status.fromThrowable(failure).code == Status.Code.DEADLINE_EXCEEDED
 
 /** Less than the interval between two reports. */
 private const val REPORT_TIMEOUT_MILLIS = 450L
 
+/** The handshake of a machine that has just started may take seconds. */
+private const val FIRST_HANDSHAKE_NANOS = 1_000_000_000L
+private const val LONGEST_HANDSHAKE_NANOS = 16_000_000_000L
+
 /** Longer than a sync waits; the system's own attempts to connect get rare while nothing responds. */
 private const val CONNECT_TIMEOUT_MILLIS = 500
 private const val KEEP_ALIVE_SECONDS = 10L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -170,8 +170,8 @@
 )
 
 /**
- * Each daemon that passes an age on may round it down by a millisecond or two, so that this daemon's own read comes
- * back from the others as a slightly later one. Less than the times vary at which daemons go on reading.
+ * Each daemon of an older build that passes an age on may round it down by a millisecond or two, so that this daemon's
+ * own read comes back as a slightly later one. Less than the times vary at which daemons go on reading.
  */
 private const val ROUNDING_MILLIS = 25L
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerConnectionsTest.kt
@@ -4,11 +4,14 @@
 import io.grpc.ServerServiceDefinition
 import io.grpc.netty.NettyServerBuilder
 import io.grpc.stub.ServerCalls
+import io.kotest.assertions.throwables.shouldThrow
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioSocketChannel
+import org.bulrushtack.forward.testing.HoldingHandler
 import org.bulrushtack.forward.testing.SilencingHandler
 import org.bulrushtack.http.EventLoops
 import org.bulrushtack.http.FreePorts
@@ -22,11 +25,13 @@
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.ExecutionException
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.TimeSource
 
 class PeerConnectionsTest : AnnotationSpec() {
     private var port = 0
+    private var handshakeMillis = 0L
     private val silencers = CopyOnWriteArrayList<SilencingHandler>()
     private lateinit var group: EventLoopGroup
     private lateinit var testSubject: PeerConnections
@@ -36,9 +41,10 @@
         port = FreePorts.find(count = 1).single()
         group = EventLoops.create(threads = 1)
         silencers.clear()
+        handshakeMillis = 0
         testSubject = PeerConnections(group, openChannel = {
             val silencer = SilencingHandler().also { silencers.add(it) }
-            NioSocketChannel().apply { pipeline().addFirst(silencer) }
+            NioSocketChannel().apply { pipeline().addFirst(silencer, HoldingHandler(handshakeMillis)) }
         })
     }
 
@@ -117,6 +123,38 @@
         tookMillis shouldBeLessThan LIMIT_MILLIS
     }
 
+    // Guards against connections to slow machines that are replaced before each handshake is complete.
+    @Test
+    fun `a daemon is reached whose handshakes take longer than the first limit`() {
+        handshakeMillis = SLOW_HANDSHAKE_MILLIS
+        val daemon = startDaemon()
+
+        awaitSync()
+
+        daemon.shutdownNow()
+    }
+
+    // Guards against a daemon that is taken for unresponsive as a report found its connection silent before a sync did.
+    @Test
+    fun `a sync learns that the connection is silent although another call has replaced it`() {
+        val daemon = startDaemon()
+        awaitSync()
+        // gRPC acknowledges what it has received a little later.
+        Thread.sleep(PAUSE_MILLIS)
+        silencers.forEach { it.isSilent = true }
+
+        val sync = testSubject.sync("127.0.0.1:$port", SyncRequest.getDefaultInstance(), TIMEOUT_MILLIS)
+        testSubject.unary(
+            address = "127.0.0.1:$port",
+            method = CoordinationMethods.SYNC,
+            request = SyncRequest.getDefaultInstance(),
+            timeoutMillis = TIMEOUT_MILLIS / 2,
+        )
+
+        shouldThrow<ExecutionException> { sync.get() }.cause.shouldBeInstanceOf<SilentConnectionException>()
+        daemon.shutdownNow()
+    }
+
     // Guards against connections that are replaced, with all calls on them, because the peer answers one call late.
     @Test
     fun `a connection over which other replies arrive is kept`() {
@@ -170,6 +208,8 @@
         const val TIMEOUT_MILLIS = 350L
         const val MAXIMUM_SYNCS = 50
 
+        const val SLOW_HANDSHAKE_MILLIS = 1_500L
+
         /** The syncs of more than a second. */
         const val HANDSHAKE_SYNCS = 2
 
