Look at a server again once the connection to it is open

What callers saw: a request reached a server that had said it was leaving, later than allowed after its leaving was acknowledged.

Cause: a send looked at the server just before the connection was opened, not before the first byte. Opening may take up to 500 ms (the limit of a connection attempt). News that arrived meanwhile was not heeded, so this time came on top of the time that the news needs to reach the daemon. The same held for a data centre that is taken out.

Change: the client asks on the connection's thread, just before the first byte, whether the request may still be written. If not, nothing is written, the connection is closed, and the attempt ends as not sent and unattributed, as it does where the server is found unusable before the connection. The request is placed elsewhere.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -30,10 +30,10 @@
     /** Whether any byte of the request may have reached the server; false while the connection is being opened. */
     val isSent: Boolean get() = call?.isSent ?: false
 
-    /** Sends [request]. */
-    fun start(client: HttpClient, request: ClientRequest) {
+    /** Sends [request] if [mayWrite] still allows it once the connection is open. */
+    fun start(client: HttpClient, request: ClientRequest, mayWrite: () -> Boolean) {
         relay.onWritable { call?.setReading(true) }
-        call = client.send(request = request, listener = this)
+        call = client.send(request = request, listener = this, mayWrite = mayWrite)
     }
 
     /** Cancels the send without reporting a result. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -38,7 +38,7 @@
 
     /** Starts the placement on a server that is not in [excluded]. */
     fun start(excluded: Set<String>) {
-        if (refuseIfPointless(target = null)) return
+        if (endIfPointless(target = null)) return
         val created = AttemptPlacementFactory(dependencies, context).create(number, excluded, this)
         placement = created
         if (created == null) {
@@ -110,35 +110,37 @@
     }
 
     /**
-     * Refuses a request that should reach no server any more: servers have crashed under parts of the prompt, or the
-     * answer, from [target] if the request is placed, would end after this process exits.
+     * Ends this attempt if its request should reach no server any more: servers have crashed under parts of the prompt,
+     * or the answer, from [target] if the request is placed, would end after this process exits. Ends it as well if
+     * [target] is no longer usable, as it may have started leaving (draining) since it was selected. Returns whether
+     * the attempt has ended.
      */
-    private fun refuseIfPointless(target: SendTarget?): Boolean {
+    private fun endIfPointless(target: SendTarget?): Boolean {
+        val nowMillis = dependencies.thread.nowMillis()
         val quarantineMillis = dependencies.crashReports.quarantineMillis(context.caller.sharedParts)
-        val expectedEndAtMillis = context.expectedEndAtMillis(dependencies.thread.nowMillis(), target)
-        val isPointless = quarantineMillis > 0 || !dependencies.drain.leavesTimeUntil(expectedEndAtMillis)
-        if (isPointless) {
-            cancel()
-            val isQuarantined = quarantineMillis > 0
-            listener.onAttemptRefused(
-                kind = if (isQuarantined) ErrorKind.PROMPT_QUARANTINED else ErrorKind.DRAINING,
-                retryAfterMillis = if (isQuarantined) quarantineMillis else dependencies.retryAfterPolicy.delayMillis(),
+        val isQuarantined = quarantineMillis > 0
+        val isTooLate = !dependencies.drain.leavesTimeUntil(context.expectedEndAtMillis(nowMillis, target))
+        when {
+            isFinished -> Unit
+            isQuarantined || isTooLate -> {
+                cancel()
+                listener.onAttemptRefused(
+                    kind = if (isQuarantined) ErrorKind.PROMPT_QUARANTINED else ErrorKind.DRAINING,
+                    retryAfterMillis = quarantineMillis.takeIf { isQuarantined }
+                        ?: dependencies.retryAfterPolicy.delayMillis(),
+                )
+            }
+            target != null && dependencies.state.fleet.usable(target.serverId, nowMillis) == null -> finish(
+                SendResult(SendOutcome.NOT_SENT, "the server is no longer usable", target.serverId),
+                attributeToServer = false,
             )
         }
-        return isPointless
+        return isFinished
     }
 
-    /** Checks again that the server is usable, as it may have started leaving (draining) after its selection. */
     private fun send(target: SendTarget, attemptReservations: Reservations) {
-        if (refuseIfPointless(target)) return
+        if (endIfPointless(target)) return
         val nowMillis = dependencies.thread.nowMillis()
-        if (dependencies.state.fleet.usable(target.serverId, nowMillis) == null) {
-            finish(
-                SendResult(SendOutcome.NOT_SENT, "the server is no longer usable", target.serverId),
-                attributeToServer = false,
-            )
-            return
-        }
         sentTo = target
         val head = BackendRequestHead(
             serverId = target.serverId,
@@ -167,6 +169,7 @@
         backendSend.start(
             client = dependencies.client,
             request = request.copy(maximumResponseBytes = dependencies.maximumResponseBytes()),
+            mayWrite = { !endIfPointless(target) },
         )
         progress.start(timeoutMillis.takeIf { isRepeatable })
     }
--- a/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/ClientExchange.kt
@@ -16,12 +16,16 @@
 import org.bulrushtack.http.syntax.ResponseSyntaxHandler
 import java.io.IOException
 
-/** One request on one connection; [onIdle] gets the connection back after a complete response. */
+/**
+ * One request on one connection; [onIdle] gets the connection back after a complete response. A request that [mayWrite]
+ * no longer allows once the connection is open is not sent.
+ */
 internal class ClientExchange(
     private val request: ClientRequest,
     private val listener: ResponseListener,
     private val onIdle: (String, Channel) -> Unit,
     private val malformedResponses: MalformedResponseObserver = LoggingMalformedResponseObserver,
+    private val mayWrite: () -> Boolean = { true },
 ) : SimpleChannelInboundHandler<HttpObject>(), ClientCall {
     private val progress = RequestProgress()
 
@@ -34,9 +38,10 @@
     @Volatile
     private var writeFailure: String? = null
 
-    /** Sends the request; must run on the connection's thread. */
+    /** Sends the request, unless it is finished or may not be written any more; must run on the connection's thread. */
     fun start(connected: Channel) {
         channel = connected
+        if (!progress.isFinished && !mayWrite()) abort("the request may not be written any more")
         if (!progress.markSent()) {
             connected.close()
             return
--- a/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/bulrushtack/http/HttpClient.kt
@@ -35,14 +35,22 @@
 ) {
     private val idle = IdleConnections()
 
-    /** Sends [request] and passes the response to [listener]. */
-    public fun send(request: ClientRequest, listener: ResponseListener): ClientCall {
+    /**
+     * Sends [request] and passes the response to [listener]. Once there is a connection, its thread asks [mayWrite]
+     * just before the first byte; if the request may not be written any more, it fails as not sent.
+     */
+    public fun send(
+        request: ClientRequest,
+        listener: ResponseListener,
+        mayWrite: () -> Boolean = { true },
+    ): ClientCall {
         val sentAtNanos = System.nanoTime()
         val call = ClientExchange(
             request = request,
             listener = listener,
             onIdle = idle::add,
             malformedResponses = malformedResponses,
+            mayWrite = mayWrite,
         )
         val pooled = if (request.dedicatedConnection) null else idle.take(request.address)
         val address = HostAndPort.parse(request.address)
--- a/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/ClientExchangeTest.kt
@@ -66,6 +66,29 @@
         listener.failures.single().sent shouldBe false
     }
 
+    @Test
+    fun `a request is asked about once it has a connection, and not after it was aborted`() {
+        val asked = mutableListOf<String>()
+        val refused = ClientExchange(request, FakeResponseListener(), onIdle = { _, _ -> }, mayWrite = {
+            asked.add("refused")
+            false
+        })
+        val aborted = ClientExchange(request, FakeResponseListener(), onIdle = { _, _ -> }, mayWrite = {
+            asked.add("aborted")
+            true
+        })
+        val channels = List(2) { EmbeddedChannel() }
+
+        refused.start(channels.first())
+        aborted.abort(reason = "timed out")
+        aborted.start(channels.last())
+
+        asked shouldBe listOf("refused")
+        channels.map { it.isOpen } shouldBe listOf(false, false)
+        channels.sumOf { it.outboundMessages().size } shouldBe 0
+        refused.isSent shouldBe false
+    }
+
     // Guards against a booking that is sent again, since a timeout on another thread took the first one for not sent.
     @Test
     fun `a request that is aborted while it is being sent is reported as not sent only if nothing was written`() {
--- a/http/src/test/kotlin/org/bulrushtack/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/bulrushtack/http/HttpClientTest.kt
@@ -52,7 +52,31 @@
         reset.leftOrNull()?.connectionRefused shouldBe false
     }
 
+    // Guards against a request to a server that began to leave while the connection to it was opened.
+    @Test
+    fun `a request that may not be written once its connection is open fails as not sent, with no byte written`() {
+        val loop = group.next() as EventLoop
+        val received = CompletableFuture<Int>()
+        val reported = CompletableFuture<HttpFailure>()
+        val isAskedOnLoop = CompletableFuture<Boolean>()
+        val listener = object : ResponseListener by FakeResponseListener() {
+            override fun onFailure(failure: HttpFailure) {
+                reported.complete(failure)
+            }
+        }
+
+        RawServer { received.complete(it.getInputStream().read()) }.use { server ->
+            val request = ClientRequest(method = "GET", address = server.address, path = "/")
+            HttpClient(group).send(request, listener, mayWrite = { !isAskedOnLoop.complete(loop.inEventLoop()) })
+
+            reported.get(LIMIT_SECONDS, TimeUnit.SECONDS).sent shouldBe false
+            received.get(LIMIT_SECONDS, TimeUnit.SECONDS) shouldBe END_OF_INPUT
+            isAskedOnLoop.get(LIMIT_SECONDS, TimeUnit.SECONDS) shouldBe true
+        }
+    }
+
     private companion object {
+        const val END_OF_INPUT = -1
         const val LIMIT_SECONDS = 10L
     }
 }
