Don't take a daemon's own loss of contact for an outage of the store

What callers saw: requests of a daemon that was frozen or cut off for some seconds still went to a server that had left meanwhile, for up to 2.2 s after the daemon was back, although it knew the entry's removal from its first message on.

Cause: entries that are removed after nobody read the store for two heartbeat intervals count for 2.2 s more, as they may only have lapsed in an outage. A daemon that is out of contact with the store and with the other daemons sees the same age of its replica, while the others go on reading and nothing lapses.

Change: the policy gets the part of the unread time in which this daemon heard no other one (`unheardMillis`) and takes only the rest for the outage. A daemon that was out of contact for a part of a real outage still knows of it from the other part.

Ruled out: a majority of removed servers for each service as the sign of an outage; it dropped half of an engine service in short outages.

Remains: two daemons that are cut off together hear one another and still take it for an outage; one that reads the store at the moment at which all others are killed and the store fails drops lapsed entries at once, until they are written again.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -118,6 +118,7 @@
         val nowMillis = components.thread.nowMillis()
         val self = state.daemons.self
         components.reachability.tick()
+        state.silence.tick(nowMillis)
         components.announceReadiness()
         pressure.tick(nowMillis)
         val isReader = state.daemons.leaderCandidates(nowMillis).firstOrNull()?.name == self.name
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
@@ -13,6 +13,9 @@
 ) {
     val fleet = FleetRegion()
 
+    /** When this daemon heard no other one. */
+    val silence = PeerSilence(daemons)
+
     /** The newest configuration, or null before the first is received. */
     var routing: RoutingTable? = null
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/LapsedEntryPolicy.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/LapsedEntryPolicy.kt
@@ -9,7 +9,8 @@
  *
  * An entry lapses after three heartbeat intervals of silence, of which one may be over when an outage begins. A time of
  * two intervals in which no daemon read the store may be an outage in which nothing lapsed, or the time that the
- * daemons took to replace the one that reads for all; it makes no difference.
+ * daemons took to replace the one that reads for all; it makes no difference. Neither does a time in which this daemon
+ * heard nobody: others may have read the store meanwhile.
  *
  * @param heartbeatMillis how often a server writes its entry
  */
@@ -20,11 +21,11 @@
     private val returnedAtMillis = HashMap<StoreTopic, Long>()
 
     /**
-     * Records that [topic] was read from the store after no daemon is known to have read it for [unreadMillis]. Returns
-     * whether entries may have lapsed in this time.
+     * Records that [topic] was read from the store after no daemon is known to have read it for [unreadMillis], of
+     * which this daemon heard no other one for [unheardMillis]. Returns whether entries may have lapsed in this time.
      */
-    fun recordRead(topic: StoreTopic, unreadMillis: Long, nowMillis: Long): Boolean {
-        val isOutage = unreadMillis > minimumOutageMillis
+    fun recordRead(topic: StoreTopic, unreadMillis: Long, unheardMillis: Long, nowMillis: Long): Boolean {
+        val isOutage = unreadMillis - unheardMillis > minimumOutageMillis
         if (isOutage) returnedAtMillis[topic] = nowMillis
         return isOutage
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -28,12 +28,17 @@
     fun merge(topic: StoreTopic, batch: RecordBatch, ageMillis: Long, source: String) {
         val nowMillis = clock.nowMillis()
         val local = topics.getValue(topic)
-        val unreadMillis = local.confirm(readAtMillis = nowMillis - ageMillis)
-        if (state.lapses.recordRead(topic, unreadMillis, nowMillis)) {
+        val readAtMillis = nowMillis - ageMillis
+        val unreadMillis = local.confirm(readAtMillis)
+        state.silence.tick(nowMillis)
+        val unheardMillis =
+            state.silence.unheardMillis(fromMillis = readAtMillis - unreadMillis, toMillis = readAtMillis)
+        if (state.lapses.recordRead(topic, unreadMillis, unheardMillis, nowMillis)) {
             log.info(
                 "Nobody read the store for a while; entries that are removed now may only have lapsed.",
                 LogField("topic", topic),
                 LogField("unread_millis", unreadMillis),
+                LogField("unheard_millis", unheardMillis),
             )
         }
         if (batch.endOffset >= local.replica.endOffset) {
