Pass all topics on together when a daemon reads in place of the usual one

What callers saw: while the store refused the first two in rank, a change of the configuration or the news of a leaving server was applied up to 0.4 s later than another change of the same moment; a few such changes came after the 2 s that are allowed.

Cause: a daemon whose turn it is tries one topic, syncs at once, and reads the others when the first one responds. The leaders then get its records by a sync that is already on its way when the other topics are read, so that these wait for the next one. Which topic was tried first is a matter of when each was tried last.

Change: the substitute syncs 25 ms after its first read, when the others have been read as well. A slow store changes nothing: each read that ends later is announced by itself.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -30,6 +30,7 @@
     private var unavailable = false
     private var takesTurns = false
     private var isReader = false
+    private var isUnannounced = false
 
     /** Called when this daemon has read the store although another one should read for all. */
     var onRead: () -> Unit = {}
@@ -111,12 +112,25 @@
                 // The store responds again: the daemon that reads for all goes back to the other topics as well.
                 polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
-                if (!isReader) onRead()
                 startOverdue(nowMillis)
+                if (!isReader) announce()
             },
         )
     }
 
+    /**
+     * Announces what was read once the reads of the other topics have ended as well: a sync that is on its way holds up
+     * the next one, and with it what is read meanwhile.
+     */
+    private fun announce() {
+        if (isUnannounced) return
+        isUnannounced = true
+        thread.schedule(ANNOUNCEMENT_DELAY_MILLIS) {
+            isUnannounced = false
+            onRead()
+        }
+    }
+
     /** While the store is away one topic is tried at a time; the others follow as soon as it responds. */
     private fun startOverdue(nowMillis: Long) = polls
         .filter { (topic, poll) -> overdueMillis(topic, poll, nowMillis) >= 0 }
@@ -156,6 +170,9 @@
 }
 
 private const val SOURCE = "store"
+
+/** A few times what a read takes; a slow store may take longer, and the next sync passes on what it returns. */
+private const val ANNOUNCEMENT_DELAY_MILLIS = 25L
 private const val NEVER_MILLIS = Long.MIN_VALUE / 2
 
 /** A change has two seconds to reach every daemon; it may wait half a second here, the rest is for the syncs. */
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -68,6 +68,24 @@
             }
         }
 
+    // Guards against news that miss the sync right after a read of another topic and wait for the next one.
+    @Test
+    fun `news at the beginning of a refusal reach all daemons in time, whatever their topic`() =
+        AT_REFUSAL_LIMITS_MILLIS.forEach { (topic, limitMillis) ->
+            forEachSystem(sizes = listOf(SMALL)) { system, _ ->
+                repeat(REFUSALS) { refusal ->
+                    system.store.refuses = { it < TURNED_AWAY_LEADERS }
+                    val endOffset = system.store.append(topic)
+
+                    val millis = system.millisUntilKnown(topic, endOffset, LATE_MILLIS)
+
+                    withClue("$topic, refusal $refusal") { millis shouldBeAtMost limitMillis }
+                    system.store.refuses = { false }
+                    system.advance(CALM_MILLIS + refusal * SHORT_PAUSE_MILLIS)
+                }
+            }
+        }
+
     // Guards against a daemon that takes the echo of its own read for a later one and stops reading for the others.
     @Test
     fun `news reach all daemons in time over fast links while the store serves the last two`() =
@@ -144,6 +162,8 @@
         const val OUTAGE_MILLIS = 20_000
         const val LATE_MILLIS = 10_000
         const val TURNED_AWAY = 3
+        const val TURNED_AWAY_LEADERS = 2
+        const val REFUSALS = 8
         const val CHANGES = 5
         const val PAUSE_MILLIS = 300
         const val SERVED = 2
@@ -153,6 +173,10 @@
         /** The time in which a change of the configuration has to reach every daemon. */
         const val LIMIT_MILLIS = 2_000
         const val LARGE_LIMIT_MILLIS = 3_000
+        val AT_REFUSAL_LIMITS_MILLIS = mapOf(
+            StoreTopic.OPERATOR to LIMIT_MILLIS,
+            StoreTopic.BACKEND_SERVERS to LIMIT_MILLIS,
+        )
 
         /** The daemon that usually reads for all tries in addition, at last every two seconds or less often. */
         const val TRIES_OF_THE_FIRST = OUTAGE_MILLIS / 2_000
