--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -30,6 +30,7 @@
     private var unavailable = false
     private var takesTurns = false
     private var isReader = false
+    private var isUnannounced = false
 
     /** Called when this daemon has read the store although another one should read for all. */
     var onRead: () -> Unit = {}
@@ -111,15 +112,33 @@
                 // The store responds again: the daemon that reads for all goes back to the other topics as well.
                 polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
-                if (!isReader) onRead()
                 startOverdue(nowMillis)
+                if (!isReader) announce()
             },
         )
     }
 
-    /** While the store is away one topic is tried at a time; the others follow as soon as it responds. */
+    /**
+     * Announces what was read once the reads of the other topics have ended as well: a sync that is on its way holds up
+     * the next one, and with it what is read meanwhile.
+     */
+    private fun announce() {
+        if (isUnannounced) return
+        isUnannounced = true
+        thread.schedule(ANNOUNCEMENT_DELAY_MILLIS) {
+            isUnannounced = false
+            onRead()
+        }
+    }
+
+    /**
+     * While the store is away one topic is tried at a time; the others follow as soon as it responds. A daemon whose turn
+     * it is doesn't wait until a topic that is due is overdue as well, as nobody else will read it before.
+     */
     private fun startOverdue(nowMillis: Long) = polls
-        .filter { (topic, poll) -> overdueMillis(topic, poll, nowMillis) >= 0 }
+        .filter { (topic, poll) ->
+            overdueMillis(topic, poll, nowMillis) >= if (takesTurns) -PASSING_ON_MILLIS else 0
+        }
         .forEach { (topic, poll) ->
             poll.replacesReader = !isReader
             startPoll(topic, poll, nowMillis)
@@ -156,6 +175,9 @@
 }
 
 private const val SOURCE = "store"
+
+/** A few times what a read takes; a slow store may take longer, and the next sync passes on what it returns. */
+private const val ANNOUNCEMENT_DELAY_MILLIS = 25L
 private const val NEVER_MILLIS = Long.MIN_VALUE / 2
 
 /** A change has two seconds to reach every daemon; it may wait half a second here, the rest is for the syncs. */
