Keep a server that said it leaves out of use for the rest of its lifetime

What callers saw: a request reached a server later than allowed after its leaving was acknowledged.

Cause: each entry of a server replaced all that was known of it. A heartbeat that the store carries out late, after the server reported that it is draining, made it usable again, for the same lifetime, until it ended.

Change: a server that said that it leaves stays leaving until an entry of another lifetime (`born`) is read. Where the start isn't known, the newest entry decides, as before. A server at whose address another one responds, or none, is no longer recorded as leaving but as lost, since it is in use again as soon as its entry is written again, as before. A daemon that gets both records in one batch sees only the newer one; that isn't changed.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -5,13 +5,19 @@
  *
  * @property coldUntilMillis the steady time from which it is warm
  * @property usableUntilMillis the steady time at which it expires, or null while its entry is stored
+ * @property isLost whether it was found to be no longer at its address
  */
 public data class BackendServerState(
     val entry: BackendServerEntry,
     val coldUntilMillis: Long,
     val usableUntilMillis: Long? = null,
+    val isLost: Boolean = false,
 ) {
+    /** Whether it said that it leaves, and [newer] is an entry of the same lifetime, which ends with that. */
+    internal fun hasLeft(newer: BackendServerEntry): Boolean =
+        entry.leaving && entry.startedAtMillis > 0 && entry.startedAtMillis == newer.startedAtMillis
+
     /** Whether the server may receive requests at [nowMillis], unless its data centre is taken out of service. */
     internal fun isUsable(nowMillis: Long): Boolean =
-        !entry.leaving && (usableUntilMillis == null || nowMillis < usableUntilMillis)
+        !entry.leaving && !isLost && (usableUntilMillis == null || nowMillis < usableUntilMillis)
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -8,9 +8,13 @@
     private val servers = LinkedHashMap<String, BackendServerState>()
     private val takenOut = HashSet<String>()
 
-    /** Adds or replaces a server's entry, read at [nowMillis]. */
+    /** Adds or replaces a server's entry, read at [nowMillis]. A server that said that it leaves stays leaving. */
     public fun put(entry: BackendServerEntry, nowMillis: Long) {
-        servers[entry.id] = BackendServerState(entry = entry, coldUntilMillis = nowMillis + entry.coldMillis)
+        val hasLeft = servers[entry.id]?.hasLeft(entry) ?: false
+        servers[entry.id] = BackendServerState(
+            entry = entry.copy(leaving = entry.leaving || hasLeft),
+            coldUntilMillis = nowMillis + entry.coldMillis,
+        )
     }
 
     /** Records that the entry of [id] was deleted; the server expires at [usableUntilMillis]. */
@@ -23,9 +27,9 @@
         if (out) takenOut.add(dataCentre) else takenOut.remove(dataCentre)
     }
 
-    /** Marks [id] as leaving, after its own announcement or because another server answers at its address. */
-    public fun markLeaving(id: String) {
-        servers.computeIfPresent(id) { _, state -> state.copy(entry = state.entry.copy(leaving = true)) }
+    /** Takes [id] out of use until its entry is written again: another server responds at its address, or none. */
+    public fun markLost(id: String) {
+        servers.computeIfPresent(id) { _, state -> state.copy(isLost = true) }
     }
 
     /** The server with [id] if it may receive requests at [nowMillis], else null. */
--- a/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
@@ -23,12 +23,45 @@
     }
 
     @Test
-    fun `a server that is marked as leaving is not usable`() {
+    fun `a server that is lost is not usable until its entry is written again`() {
         val testSubject = fleet()
 
-        testSubject.markLeaving("i-1")
+        testSubject.markLost("i-1")
 
         testSubject.usable("i-1", nowMillis = 1_000) shouldBe null
+        testSubject.put(entry, nowMillis = 2_000)
+        testSubject.usable("i-1", nowMillis = 2_000)?.entry shouldBe entry
+    }
+
+    // Guards against a heartbeat that the store carries out late, after the server said that it leaves.
+    @Test
+    fun `a server that said that it leaves is not usable, whatever entry of the same lifetime follows`() {
+        val testSubject = fleet()
+        testSubject.put(entry.copy(leaving = true), nowMillis = 2_000)
+
+        testSubject.put(entry.copy(coldMillis = 0), nowMillis = 3_000)
+
+        testSubject.usable("i-1", nowMillis = 3_000) shouldBe null
+    }
+
+    @Test
+    fun `a server that starts again after it left is usable`() {
+        val testSubject = fleet()
+        testSubject.put(entry.copy(leaving = true), nowMillis = 2_000)
+
+        testSubject.put(entry.copy(startedAtMillis = 2), nowMillis = 3_000)
+
+        testSubject.usable("i-1", nowMillis = 3_000)?.entry?.startedAtMillis shouldBe 2
+    }
+
+    @Test
+    fun `a server whose start is not known is usable when its entry no longer says that it leaves`() {
+        val testSubject = FleetRegion()
+        testSubject.put(entry.copy(leaving = true, startedAtMillis = 0), nowMillis = 2_000)
+
+        testSubject.put(entry.copy(startedAtMillis = 0), nowMillis = 3_000)
+
+        testSubject.usable("i-1", nowMillis = 3_000)?.entry?.leaving shouldBe false
     }
 
     @Test
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
@@ -20,7 +20,8 @@
         val turnedCold = entry.coldMillis > 0 && (previous == null || previous.coldMillis == 0L)
         val message = when {
             previous == null || previous.startedAtMillis != entry.startedAtMillis -> "A backend server was added."
-            previous.leaving != entry.leaving -> "A backend server is leaving."
+            entry.leaving && !previous.leaving -> "A backend server is leaving."
+            previous.leaving && !entry.leaving -> "A backend server that said that it leaves is listed as ready."
             previous.address != entry.address -> "A backend server has a new address."
             turnedCold -> "A backend server is cold."
             else -> null
