Heed Server-Leaving in the responses of back ends

Cause: nothing read the header. The store was the only way by which a daemon learned that a server leaves.

Change: any response to a request that says so takes the server out of use at once, for the rest of its lifetime, whatever the store says. Responses to memory reservations and load reports are not read for it: the rule binds a daemon by what it has passed on. The header is still passed on to callers.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -27,6 +27,14 @@
         if (out) takenOut.add(dataCentre) else takenOut.remove(dataCentre)
     }
 
+    /** Marks the server as leaving if it is in [lifetime], after its own word; returns whether it was not known to. */
+    public fun markLeaving(lifetime: ServerLifetime): Boolean {
+        val state = servers[lifetime.serverId]
+            ?.takeUnless { it.entry.leaving || lifetime.isOther(it.entry.startedAtMillis) }
+        if (state != null) servers[lifetime.serverId] = state.copy(entry = state.entry.copy(leaving = true))
+        return state != null
+    }
+
     /** Takes [id] out of use until its entry is written again: another server responds at its address, or none. */
     public fun markLost(id: String) {
         servers.computeIfPresent(id) { _, state -> state.copy(isLost = true) }
@@ -54,10 +62,6 @@
         }
     }
 
-    /** The servers of [service] whose entries are stored, including those that are leaving. */
-    public fun storedOf(service: String): List<BackendServerState> =
-        servers.values.filter { it.entry.service == service && it.usableUntilMillis == null }
-
     /** Removes the servers that expired long enough ago for their last requests to be complete. */
     public fun removeExpired(nowMillis: Long) {
         servers.values.removeIf { state ->
@@ -65,9 +69,8 @@
         }
     }
 
-    /** The addresses of all servers whose entries are stored, whether they may receive requests or not. */
-    public val storedAddresses: List<String>
-        get() = servers.values.filter { it.usableUntilMillis == null }.map { it.entry.address }
+    /** The servers whose entries are stored, whether they may receive requests or not. */
+    public val stored: List<BackendServerState> get() = servers.values.filter { it.usableUntilMillis == null }
 
     /** The number of known servers, usable or not. */
     public val size: Int get() = servers.size
--- a/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
@@ -44,6 +44,29 @@
         testSubject.usable("i-1", nowMillis = 3_000) shouldBe null
     }
 
+    @Test
+    fun `a server that says in a response that it leaves stays leaving until its next start`() {
+        val testSubject = fleet()
+
+        testSubject.markLeaving(testSubject.lifetime("i-1")) shouldBe true
+
+        testSubject.put(entry, nowMillis = 2_000)
+        testSubject.usable("i-1", nowMillis = 2_000) shouldBe null
+        testSubject.put(entry.copy(startedAtMillis = 2), nowMillis = 3_000)
+        testSubject.usable("i-1", nowMillis = 3_000)?.entry?.startedAtMillis shouldBe 2
+    }
+
+    @Test
+    fun `the word of an earlier lifetime is not held against a server that has started again`() {
+        val testSubject = fleet()
+        val earlier = testSubject.lifetime("i-1")
+        testSubject.put(entry.copy(startedAtMillis = 2), nowMillis = 2_000)
+
+        testSubject.markLeaving(earlier) shouldBe false
+
+        testSubject.usable("i-1", nowMillis = 2_000)?.entry?.startedAtMillis shouldBe 2
+    }
+
     @Test
     fun `a server that starts again after it left is usable`() {
         val testSubject = fleet()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/duty/ScaledFleet.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/duty/ScaledFleet.kt
@@ -35,7 +35,9 @@
         val live = (state.daemons.live(nowMillis) + state.daemons.self).mapTo(HashSet()) { it.dataCentre }
         seenDataCentres.addAll(live)
         val usable = state.fleet.usableOf(service, nowMillis).groupingBy { it.entry.dataCentre }.eachCount()
-        val present = state.fleet.storedOf(service).groupingBy { it.entry.dataCentre }.eachCount()
+        val present = state.fleet.stored.filter { it.entry.service == service }
+            .groupingBy { it.entry.dataCentre }
+            .eachCount()
         return (present.keys + usable.keys).sorted().map { name ->
             val isDark = name in seenDataCentres && name !in live
             DataCentreServers(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/BackendSend.kt
@@ -19,7 +19,7 @@
     private val target: SendTarget,
     private val relay: ResponseRelay,
     private val failureBody: FailureBody,
-    private val onFinished: (SendResult) -> Unit,
+    private val listener: Listener,
 ) : ResponseListener {
     private var call: ClientCall? = null
     private var isFinished = false
@@ -30,10 +30,10 @@
     /** Whether any byte of the request may have reached the server; false while the connection is being opened. */
     val isSent: Boolean get() = call?.isSent ?: false
 
-    /** Sends [request] if [mayWrite] still allows it once the connection is open. */
-    fun start(client: HttpClient, request: ClientRequest, mayWrite: () -> Boolean) {
+    /** Sends [request] if it may still be written once the connection is open. */
+    fun start(client: HttpClient, request: ClientRequest) {
         relay.onWritable { call?.setReading(true) }
-        call = client.send(request = request, listener = this, mayWrite = mayWrite)
+        call = client.send(request = request, listener = this, mayWrite = listener::mayWrite)
     }
 
     /** Cancels the send without reporting a result. */
@@ -51,6 +51,7 @@
         head = response
         this.status = status
         this.headers = headers
+        if (response.isLeaving) listener.onLeaving()
         when {
             response.isMisdirected -> abort(SendOutcome.NOT_RUN, MISDIRECTED)
             response.isNotExecuted -> abort(SendOutcome.NOT_RUN, "not executed, status $status")
@@ -113,7 +114,7 @@
     ) {
         if (isFinished) return
         isFinished = true
-        onFinished(
+        listener.onFinished(
             SendResult(
                 outcome = outcome,
                 reason = reason,
@@ -126,6 +127,18 @@
         )
     }
 
+    /** Decides whether the request is written, and receives what becomes of it. */
+    interface Listener {
+        /** Whether the request may still be written, as its connection is open. */
+        fun mayWrite(): Boolean
+
+        /** The server says in its response that it leaves; the result follows. */
+        fun onLeaving()
+
+        /** The send has ended with [result]. */
+        fun onFinished(result: SendResult)
+    }
+
     companion object {
         /** The reason of a send that reached a server other than the expected one. */
         const val MISDIRECTED: String = "another server responds at the address"
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -2,8 +2,10 @@
 
 import org.bulrushtack.core.error.ErrorKind
 import org.bulrushtack.core.exchange.SendOutcome
+import org.bulrushtack.core.fleet.ServerLifetime
 import org.bulrushtack.core.placement.PlacementOutcome
 import org.bulrushtack.core.route.Repeatability
+import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.quarantine.ObservedServer
 import org.bulrushtack.forward.wire.BackendRequestHead
 
@@ -150,18 +152,19 @@
             urgency = (context.priority * URGENCY_PER_PRIORITY).coerceIn(0, MAXIMUM_URGENCY),
             helpers = attemptReservations.helpers,
         )
+        val lifetime = dependencies.state.fleet.lifetime(target.serverId)
         val backendSend = BackendSend(
             codec = dependencies.codec,
             attemptId = context.requestId,
             target = target,
             relay = relay,
             failureBody = FailureBody(maximumBytes = dependencies.responseBufferBytes),
-            onFinished = { finish(it, attributeToServer = true) },
+            listener = SendTo(target, lifetime),
         )
         send = backendSend
         val timeoutMillis = context.firstResponseTimeoutMillis(target)
         crashObserver.onSent(
-            sentTo = ObservedServer(dependencies.state.fleet.lifetime(target.serverId), target.address),
+            sentTo = ObservedServer(lifetime, target.address),
             helpers = target.helpers.map { dependencies.state.fleet.lifetime(it.serverId) },
             silenceMillis = timeoutMillis,
         )
@@ -169,7 +172,6 @@
         backendSend.start(
             client = dependencies.client,
             request = request.copy(maximumResponseBytes = dependencies.maximumResponseBytes()),
-            mayWrite = { !endIfPointless(target) },
         )
         progress.start(timeoutMillis.takeIf { isRepeatable })
     }
@@ -193,6 +195,26 @@
         placement?.release(outcome, result.serverId, progress.firstEventMillis)
         listener.onAttemptFinished(result.copy(firstEventMillis = progress.firstEventMillis))
     }
+
+    /** The send of this attempt to [target], which is in [lifetime]. */
+    private inner class SendTo(
+        private val target: SendTarget,
+        private val lifetime: ServerLifetime,
+    ) : BackendSend.Listener {
+        override fun mayWrite(): Boolean = !endIfPointless(target)
+
+        override fun onLeaving() {
+            if (dependencies.state.fleet.markLeaving(lifetime)) {
+                dependencies.log.info(
+                    "A backend server said in a response that it is leaving.",
+                    LogField("server", target.serverId),
+                    LogField("request", context.requestId),
+                )
+            }
+        }
+
+        override fun onFinished(result: SendResult) = finish(result, attributeToServer = true)
+    }
 }
 
 private fun placementOutcome(outcome: SendOutcome): PlacementOutcome = when (outcome) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/reachability/ReachabilityMonitor.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/reachability/ReachabilityMonitor.kt
@@ -39,7 +39,7 @@
 
     /** Records that the server at [address] could not be reached or broke a connection off. */
     fun recordLost(address: String) {
-        reachability.recordLost(address, serverCount = state.fleet.storedAddresses.size, nowMillis = thread.nowMillis())
+        reachability.recordLost(address, serverCount = state.fleet.stored.size, nowMillis = thread.nowMillis())
         if (reachability.state == Reachability.DOUBTFUL) probe()
     }
 
@@ -56,7 +56,7 @@
     }
 
     private fun probe() {
-        val probed = state.fleet.storedAddresses.shuffled(random).take(PROBES)
+        val probed = state.fleet.stored.map { it.entry.address }.shuffled(random).take(PROBES)
         if (isProbing || probed.isEmpty()) return
         isProbing = true
         probedAtMillis = thread.nowMillis()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/wire/BackendResponseHead.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/wire/BackendResponseHead.kt
@@ -7,6 +7,7 @@
  * @property isSigned whether the response carries the server's signature
  * @property isNotExecuted whether the server states that it did not execute the request
  * @property isMisdirected whether a server other than the expected one responds at the address
+ * @property isLeaving whether the server says that it will shut down
  * @property faultyAddress the address of the engine that failed a request run on several engines, or null
  */
 data class BackendResponseHead(
@@ -14,5 +15,6 @@
     val isSigned: Boolean,
     val isNotExecuted: Boolean,
     val isMisdirected: Boolean,
+    val isLeaving: Boolean,
     val faultyAddress: String?,
 )
