Don't call records fresh that end before the topic does

What callers saw: nothing that a record shows. A daemon could pass on an earlier state of the configuration as read just now, so that no other daemon looked for the later one.

Cause: where a read of a topic ends at its size limit, the newest records are read in its place. If that failed, the first part was used as if it were all: the replica took the time of the read as its age.

Change: a batch says whether it reaches the end of its topic. One that doesn't is applied, but leaves the replica as old as it was, so that the topic is read again by the next turn. It still counts as a read of the store where outages are told from lapses. A topic is read at most once in 100 ms, so that a part that makes no progress doesn't keep the daemon busy.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -132,12 +132,14 @@
     }
 
     /**
-     * While the store is away one topic is tried at a time; the others follow as soon as it responds. A daemon whose turn
-     * it is doesn't wait until a topic that is due is overdue as well, as nobody else will read it before.
+     * While the store is away one topic is tried at a time; the others follow as soon as it responds. A daemon whose
+     * turn it is doesn't wait until a topic that is due is overdue as well, as nobody else will read it before. One that
+     * was just read stays overdue if not all of it could be read.
      */
     private fun startOverdue(nowMillis: Long) = polls
         .filter { (topic, poll) ->
-            overdueMillis(topic, poll, nowMillis) >= if (takesTurns) -PASSING_ON_MILLIS else 0
+            val isDue = overdueMillis(topic, poll, nowMillis) >= if (takesTurns) -PASSING_ON_MILLIS else 0
+            isDue && nowMillis - poll.sentAtMillis >= PAUSE_MILLIS
         }
         .forEach { (topic, poll) ->
             poll.replacesReader = !isReader
@@ -176,6 +178,9 @@
 
 private const val SOURCE = "store"
 
+/** The shortest time between two reads of a topic: the tick of the daemon. */
+private const val PAUSE_MILLIS = 100L
+
 /** A few times what a read takes; a slow store may take longer, and the next sync passes on what it returns. */
 private const val ANNOUNCEMENT_DELAY_MILLIS = 25L
 private const val NEVER_MILLIS = Long.MIN_VALUE / 2
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -29,7 +29,7 @@
         val nowMillis = clock.nowMillis()
         val local = topics.getValue(topic)
         val readAtMillis = nowMillis - ageMillis
-        val unreadMillis = local.confirm(readAtMillis)
+        val unreadMillis = local.confirm(readAtMillis, batch.reachesEnd)
         state.silence.tick(nowMillis)
         val unheardMillis =
             state.silence.unheardMillis(fromMillis = readAtMillis - unreadMillis, toMillis = readAtMillis)
@@ -132,14 +132,21 @@
 
     private class LocalTopic {
         val replica = TopicReplica()
+        private var lastReadAtMillis: Long? = null
+
+        /** When the topic was last read to its end, or null. */
         var confirmedAtMillis: Long? = null
             private set
 
-        /** Records that the topic was read at [readAtMillis]; returns the time since the last read before, or 0. */
-        fun confirm(readAtMillis: Long): Long {
-            val lastReadAtMillis = confirmedAtMillis ?: readAtMillis
-            confirmedAtMillis = maxOf(lastReadAtMillis, readAtMillis)
-            return readAtMillis - lastReadAtMillis
+        /**
+         * Records that the topic was read at [readAtMillis], to its end if it [reachesEnd]; returns the time since the
+         * last read before, or 0.
+         */
+        fun confirm(readAtMillis: Long, reachesEnd: Boolean): Long {
+            val previousMillis = lastReadAtMillis ?: readAtMillis
+            lastReadAtMillis = maxOf(previousMillis, readAtMillis)
+            if (reachesEnd) confirmedAtMillis = maxOf(confirmedAtMillis ?: readAtMillis, readAtMillis)
+            return readAtMillis - previousMillis
         }
     }
 }
