--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -133,8 +133,8 @@
 
     /**
      * While the store is away one topic is tried at a time; the others follow as soon as it responds. A daemon whose
-     * turn it is doesn't wait until a topic that is due is overdue as well, as nobody else will read it before. One that
-     * was just read stays overdue if not all of it could be read.
+     * turn it is doesn't wait until a topic that is due is overdue as well, as nobody else will read it before. One
+     * that was just read stays overdue if not all of it could be read.
      */
     private fun startOverdue(nowMillis: Long) = polls
         .filter { (topic, poll) ->
