--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonInfo.kt
@@ -14,6 +14,7 @@
  * @property linkCapacity the data rate of its VM's link in kilobits a second; 0 while unknown
  * @property pressure the part of its capacity that it lacks at present, in per cent and in a few steps
  * @property reachesServers whether it reaches any backend server, as far as it has tried
+ * @property storeUnreadable whether it can't read the platform's store at present
  * @property revision incremented at each change to this description within an incarnation
  */
 public data class DaemonInfo(
@@ -31,4 +32,5 @@
     val linkCapacity: Long = 0,
     val pressure: Long = 0,
     val reachesServers: Boolean = true,
+    val storeUnreadable: Boolean = false,
 )
--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonTable.kt
@@ -17,9 +17,12 @@
             field = value.copy(revision = field.revision + 1)
         }
 
-    /** Records that [daemon] was alive at [atMillis]; [direct] if it contacted this daemon, else a peer reported it. */
-    public fun observe(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
-        if (daemon.name == self.name) return
+    /**
+     * Records that [daemon] was alive at [atMillis]; [direct] if it contacted this daemon, else a peer reported it.
+     * Returns whether it is news that this daemon can or can't read the store.
+     */
+    public fun observe(daemon: DaemonInfo, atMillis: Long, direct: Boolean): Boolean {
+        if (daemon.name == self.name) return false
         addresses[daemon.name] = daemon.peerAddress
         if (direct) unresponsiveAtMillis.remove(daemon.peerAddress)
         val lastContactAtMillis = if (direct) atMillis else null
@@ -29,7 +32,9 @@
             lastSeenAtMillis = atMillis,
             lastContactAtMillis = lastContactAtMillis,
         )
-        observations[daemon.name] = known?.with(latest) ?: latest
+        val merged = known?.with(latest) ?: latest
+        observations[daemon.name] = merged
+        return merged.daemon.storeUnreadable != (known?.daemon?.storeUnreadable ?: false)
     }
 
     /** Records that a peer has withdrawn its report of [name], which then counts as dead without direct contact. */
@@ -49,12 +54,10 @@
         unresponsiveAtMillis[peerAddress] = nowMillis
     }
 
-    /** The live daemons by rank, ready or not, without those that are leaving; the first ones answer all syncs. */
-    public fun ranked(nowMillis: Long): List<DaemonInfo> {
+    /** The live daemons with a rank, in no order, ready or not, without those that are leaving. */
+    internal fun responsive(nowMillis: Long): List<DaemonInfo> {
         val unresponsive = unresponsiveAtMillis.filterValues { nowMillis - it < UNRESPONSIVE_MILLIS }.keys
-        return (live(nowMillis) + self)
-            .filter { it.rank != null && !it.leaving && it.peerAddress !in unresponsive }
-            .sortedBy { it.rank }
+        return (live(nowMillis) + self).filter { it.rank != null && !it.leaving && it.peerAddress !in unresponsive }
     }
 
     /** The other daemons that were seen within the liveness timeout. */
@@ -94,6 +97,9 @@
     }
 }
 
+/** The live daemons by rank, ready or not, without those that are leaving; the first ones answer all syncs. */
+public fun DaemonTable.ranked(nowMillis: Long): List<DaemonInfo> = responsive(nowMillis).sortedBy { it.rank }
+
 /** The daemons that may lead placement, in the order of preference. */
 public fun DaemonTable.leaderCandidates(nowMillis: Long): List<DaemonInfo> = ranked(nowMillis).filter { it.ready }
 
--- a/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
@@ -6,8 +6,8 @@
 /**
  * Decides when this daemon tries to read the store although nobody has read it for a while. All live daemons together
  * make one try in each interval, whatever their number: the time since the last successful read, which they learn from
- * one another, is divided into intervals, and each interval is one daemon's turn. The daemon that reads for all also
- * tries on its own, after waits that grow.
+ * one another, is divided into intervals, and each interval is one daemon's turn. A daemon that can't read the store
+ * also tries on its own, after waits that grow with its failures and with the number of such daemons.
  *
  * @param turn the turn of this daemon at present
  */
@@ -21,7 +21,8 @@
         maximumMillis = MAXIMUM_WAIT_MILLIS,
     )
     private var failedAtMillis = NEVER_MILLIS
-    private var readerMayTryAtMillis = NEVER_MILLIS
+    private var waitsFromMillis = NEVER_MILLIS
+    private var waitMillis = 0L
     private var triedAtMillis = NEVER_MILLIS
 
     /** The failed tries of this daemon since its last successful read. */
@@ -31,15 +32,18 @@
     /** Records that a read of this daemon succeeded. */
     public fun recordSuccess() {
         failures = 0
-        readerMayTryAtMillis = NEVER_MILLIS
     }
 
-    /** Records at [nowMillis] that a read failed; reads that were sent together count as one try. */
-    public fun recordFailure(sentAtMillis: Long, nowMillis: Long) {
+    /**
+     * Records at [nowMillis] that a read failed; reads that were sent together count as one try. All daemons that fail,
+     * of which there are [failing], together make about as many tries as one alone.
+     */
+    public fun recordFailure(sentAtMillis: Long, nowMillis: Long, failing: Int) {
         if (sentAtMillis <= failedAtMillis) return
         failures += 1
         failedAtMillis = nowMillis
-        readerMayTryAtMillis = nowMillis + backoff.delayMillis(failures)
+        waitsFromMillis = nowMillis
+        waitMillis = failing * backoff.delayMillis(failures + failing - 1)
     }
 
     /**
@@ -49,9 +53,11 @@
      * @param isReader whether this daemon reads for all
      */
     public fun shouldTry(overdueMillis: Long, isReader: Boolean, nowMillis: Long): Boolean {
+        // Daemons that have waited during an outage of the store would all try at its end.
+        if (overdueMillis >= 0 && !isReader) waitsFromMillis = nowMillis
         val isTurn = overdueMillis >= 0 && nowMillis - triedAtMillis >= INTERVAL_MILLIS && isTurn(overdueMillis)
-        val isReaderDue = isReader && failures > 0 && nowMillis >= readerMayTryAtMillis
-        val tries = isTurn || isReaderDue
+        val isRetry = failures > 0 && nowMillis - waitsFromMillis >= waitMillis
+        val tries = isTurn || isRetry
         if (tries) triedAtMillis = nowMillis
         return tries
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/duty/TrueTimeClock.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/duty/TrueTimeClock.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.forward.duty
 
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.ranked
 import org.bulrushtack.core.duty.TrueTimeEstimate
 
 /** True time as this daemon estimates it, from the wall clocks and estimates that daemons send with their syncs. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -61,6 +61,7 @@
 import org.bulrushtack.forward.store.ForwardState
 import org.bulrushtack.forward.store.LapsedEntryPolicy
 import org.bulrushtack.forward.store.PeerRecords
+import org.bulrushtack.forward.store.ReaderRole
 import org.bulrushtack.forward.store.StoreFollower
 import org.bulrushtack.forward.store.StoreReplica
 import org.bulrushtack.http.BodyMemory
@@ -149,7 +150,10 @@
     val follower = StoreFollower(
         store = store,
         replica = replica,
-        schedule = OutageReadSchedule(turn = { daemons.readTurn(clock.nowMillis()) }, random = random),
+        role = ReaderRole(
+            daemons = daemons,
+            schedule = OutageReadSchedule(turn = { daemons.readTurn(clock.nowMillis()) }, random = random),
+        ),
         thread = thread,
         metrics = metrics,
         log = logs.forComponent("store"),
@@ -275,7 +279,9 @@
     private var syncTicks = 0L
 
     init {
-        follower.onRead = sync::tick
+        follower.onRead = sync::passOn
+        follower.onReadability = sync::tellReadability
+        sync.onReadability = follower::tick
         reachability.prober = HttpConnectionProber(client = client, thread = thread)
         reachability.onChanged = ::onReachabilityChanged
         sync.plainLoads = PlainLoadSync(loads = plainLoads, own = { plainServerSelector.inFlight }, clock = clock)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -4,7 +4,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
-import org.bulrushtack.core.daemon.leaderCandidates
 import org.bulrushtack.forward.ForwardSettings
 import org.bulrushtack.forward.duty.LoadReporter
 import org.bulrushtack.forward.log.LogField
@@ -116,13 +115,11 @@
 
     private fun tick() {
         val nowMillis = components.thread.nowMillis()
-        val self = state.daemons.self
         components.reachability.tick()
         components.announceReadiness()
         pressure.tick(nowMillis)
-        val isReader = state.daemons.leaderCandidates(nowMillis).firstOrNull()?.name == self.name
-        components.follower.tick(isReader)
-        components.crashReports.tick(isReader)
+        components.follower.tick()
+        components.crashReports.tick(components.follower.isReader)
         components.thread.guard { components.duties?.tick(state.startupGracePeriod.isOver(nowMillis)) }
         state.fleet.removeExpired(nowMillis)
         components.logs.reportSuppressed()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/DaemonMessages.kt
@@ -24,6 +24,7 @@
         .setLinkCapacity(daemon.linkCapacity)
         .setPressure(daemon.pressure)
         .setServersUnreachable(!daemon.reachesServers)
+        .setStoreUnreadable(daemon.storeUnreadable)
         .build()
 
     /** The daemon that [record] describes; null if no other daemon could reach it. */
@@ -45,6 +46,7 @@
             linkCapacity = record.linkCapacity,
             pressure = record.pressure,
             reachesServers = !record.serversUnreachable,
+            storeUnreadable = record.storeUnreadable,
         )
     }
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -2,6 +2,8 @@
 
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.isSubstituteReader
+import org.bulrushtack.core.daemon.ranked
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.duty.TrueTimeClock
@@ -10,7 +12,6 @@
 import org.bulrushtack.forward.placement.PlacementBroker
 import org.bulrushtack.forward.store.StoreReplica
 import org.bulrushtack.http.HostAndPort
-import org.bulrushtack.protocol.DaemonRecord
 import org.bulrushtack.protocol.SyncReply
 import org.bulrushtack.protocol.SyncRequest
 
@@ -31,8 +32,13 @@
     private val views = PeerViews(daemons)
     private val positions = TopicPositions(replica)
     private val targets = SyncTargets(daemons = daemons, replica = replica, probes = probes)
+    private val observer = PeerObserver(daemons = daemons, probes = probes, thread = thread, log = log)
+    private val again = HashSet<String>()
     private var pulling: String? = null
 
+    /** Called after news from a daemon that can't read the store, or can read it again. */
+    var onReadability: () -> Unit by observer::onReadability
+
     /** The clock to keep with the peers, or null where no duties need one. */
     var trueTime: TrueTimeClock? = null
 
@@ -53,12 +59,23 @@
         targets.due(nowMillis).filter { it !in inFlight }.forEach { startSync(it, nowMillis) }
     }
 
+    /** Tells the daemons that might read the store next whether this one can read it. */
+    fun tellReadability() = syncNow(targets.readers(thread.nowMillis()))
+
+    /** Passes on what this daemon has read in place of another one; [hasRecords] tells whether there is any news. */
+    fun passOn(hasRecords: Boolean) = if (hasRecords) syncNow(targets.receivers(thread.nowMillis())) else tick()
+
+    /** A sync that is under way may have been sent before the news; it is followed by another one. */
+    private fun syncNow(peers: List<DaemonInfo>) = peers.map { it.peerAddress }.forEach {
+        if (it in inFlight) again.add(it) else startSync(it, thread.nowMillis())
+    }
+
     /** Applies the state that a peer sends and returns the reply. */
     fun handle(request: SyncRequest): SyncReply {
         val nowMillis = thread.nowMillis()
-        observe(nowMillis = nowMillis, record = request.sender, direct = true)
+        observer.observe(nowMillis = nowMillis, record = request.sender, direct = true)
         trueTime?.onRequest(request.sender.name, request.timeOfDayMillis)
-        request.daemonsList.forEach { observe(nowMillis = nowMillis, record = it, direct = false) }
+        request.daemonsList.forEach { observer.observe(nowMillis = nowMillis, record = it, direct = false) }
         val allocations = request.residentsList.map { PlacementMessages.fromWire(it, request.sender.name, nowMillis) }
         broker.reconcile(ingressDaemon = request.sender.name, allocations = allocations)
         val reply = SyncReply.newBuilder().setSender(DaemonMessages.toWire(daemons.self, ageMillis = 0))
@@ -68,7 +85,8 @@
         positions.addBatches(reply, request)
         plainLoads?.handle(request, reply)
         val isFirst = daemons.ranked(nowMillis).firstOrNull()?.name == daemons.self.name
-        if (positions.isBehind(request, isFirst)) {
+        val isSubstitute = daemons.isSubstituteReader(request.sender.name, nowMillis)
+        if (positions.isBehind(request, isFresher = isFirst || isSubstitute)) {
             // Outside this call: a call that is made within it is cancelled as soon as the reply is sent.
             thread.execute { pull(request.sender.peerAddress, thread.nowMillis()) }
         }
@@ -77,6 +95,8 @@
 
     /** Gets the records of a daemon that has fresher ones, from one daemon at a time. */
     private fun pull(address: String, nowMillis: Long) {
+        // What is under way may have been sent before the daemon had these records.
+        if (address in inFlight) again.add(address)
         if (pulling != null || address in inFlight || HostAndPort.parse(address) == null) return
         pulling = address
         startSync(address, nowMillis)
@@ -89,10 +109,14 @@
         thread.whenDone(result) { reply, failure ->
             inFlight.remove(address)
             if (pulling == address) pulling = null
+            val isAgain = again.remove(address)
             when (failure) {
-                null -> reply?.let { onReply(address, it, nowMillis) }
+                null -> {
+                    reply?.let { onReply(address, it, nowMillis) }
+                    if (isAgain && address !in inFlight) startSync(address, thread.nowMillis())
+                }
                 is SilentConnectionException -> syncAgain(address, failure)
-                else -> onFailure(address, failure)
+                else -> observer.recordFailure(address, failure)
             }
         }
     }
@@ -103,10 +127,12 @@
         trueTime?.let { request.setTimeOfDayMillis(it.timeOfDayMillis) }
         positions.addTo(request)
         plainLoads?.addTo(request)
-        if (daemons.ranked(nowMillis).getOrNull(1)?.name == daemons.self.name) {
-            daemons.directContacts(nowMillis).forEach { contact ->
-                request.addDaemons(DaemonMessages.toWire(contact.daemon, nowMillis - contact.lastSeenAtMillis))
-            }
+        val isSecond = daemons.ranked(nowMillis).getOrNull(1)?.name == daemons.self.name
+        // A daemon that can't read the store, or reads it in place of others, also tells which others can't.
+        val tellsReadability = daemons.self.storeUnreadable || daemons.isSubstituteReader(daemons.self.name, nowMillis)
+        val contacts = if (isSecond || tellsReadability) daemons.directContacts(nowMillis) else emptyList()
+        contacts.filter { isSecond || it.daemon.storeUnreadable }.forEach { contact ->
+            request.addDaemons(DaemonMessages.toWire(contact.daemon, nowMillis - contact.lastSeenAtMillis))
         }
         broker.activePlacements.allocations.forEach { request.addResidents(PlacementMessages.toWire(it, nowMillis)) }
         return request.build()
@@ -114,22 +140,13 @@
 
     private fun onReply(address: String, reply: SyncReply, sentAtMillis: Long) {
         val nowMillis = thread.nowMillis()
-        observe(nowMillis = nowMillis, record = reply.sender, direct = true)
+        observer.observe(nowMillis = nowMillis, record = reply.sender, direct = true)
         probes.recordSuccess(reply.sender.peerAddress)
         trueTime?.onReply(reply.sender.name, reply.trueTimeMillis, sentAtMillis)
         val isLeader = targets.leaders(nowMillis).any { it.peerAddress == address }
         if (isLeader) plainLoads?.onReply(reply)
         val reported = views.applyReply(address, reply, sentAtMillis)
-        val newlyLive = reported.filterNot { it.name == daemons.self.name || daemons.isLive(it.name, sentAtMillis) }
-        reported.forEach { daemons.observe(daemon = it, atMillis = sentAtMillis, direct = false) }
-        if (newlyLive.isNotEmpty()) {
-            log.info(
-                "A peer reports daemons as live.",
-                LogField("peer", reply.sender.name),
-                LogField("count", newlyLive.size),
-                LogField("daemons", newlyLive.take(MAXIMUM_LOGGED_NAMES).joinToString(",") { it.name }),
-            )
-        }
+        observer.observeReported(reported, reporter = reply.sender.name, atMillis = sentAtMillis)
         broker.pressures.merge(
             PressureMessages.fromWire(reply.pressuresList, reply.sender.name, delayMillis = nowMillis - sentAtMillis),
             nowMillis,
@@ -147,33 +164,6 @@
         }
     }
 
-    private fun observe(nowMillis: Long, record: DaemonRecord, direct: Boolean) {
-        val daemon = DaemonMessages.fromWire(record)
-        if (daemon == null) {
-            log.warn(
-                "A daemon's account of itself can't be used.",
-                LogField("daemon", record.name),
-                LogField("address", record.peerAddress),
-            )
-        } else {
-            observe(daemon, atMillis = nowMillis - maxOf(0, record.ageMillis), direct = direct)
-        }
-    }
-
-    private fun observe(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
-        val isNew = daemon.name != daemons.self.name && !daemons.isLive(daemon.name, atMillis)
-        daemons.observe(daemon = daemon, atMillis = atMillis, direct = direct)
-        if (isNew) {
-            log.info(
-                "A daemon is live.",
-                LogField("daemon", daemon.name),
-                LogField("address", daemon.peerAddress),
-                LogField("rank", daemon.rank),
-                LogField("direct", direct),
-            )
-        }
-    }
-
     /** A daemon isn't to blame for a connection that has fallen silent; the next sync uses a new one. */
     private fun syncAgain(address: String, failure: SilentConnectionException) {
         log.info(
@@ -183,22 +173,7 @@
         )
         startSync(address, thread.nowMillis())
     }
-
-    private fun onFailure(address: String, failure: Throwable) {
-        val nowMillis = thread.nowMillis()
-        if (probes.recordFailure(address, nowMillis)) {
-            log.info(
-                "A daemon did not respond.",
-                LogField("address", address),
-                LogField("reason", failure.message),
-            )
-        }
-        daemons.markUnresponsive(peerAddress = address, nowMillis = nowMillis)
-    }
 }
 
-/** The most daemons that one log line names. */
-private const val MAXIMUM_LOGGED_NAMES = 8
-
 /** About ten round trips between data centres; a slower daemon should not place work. */
 private const val SYNC_TIMEOUT_MILLIS = 350L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/TopicPositions.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/TopicPositions.kt
@@ -35,10 +35,10 @@
     }
 
     /** Whether the sender of [request] has records that this daemon should get from it. */
-    fun isBehind(request: SyncRequest, isFirst: Boolean): Boolean = request.positionsList.any { position ->
+    fun isBehind(request: SyncRequest, isFresher: Boolean): Boolean = request.positionsList.any { position ->
         val topic = topic(position)
         val ageMillis = position.ageMillis.takeIf { it > 0 } ?: Long.MAX_VALUE
-        topic != null && replica.isBehind(topic, position.endOffset, ageMillis, isFirst)
+        topic != null && replica.isBehind(topic, position.endOffset, ageMillis, isFresher)
     }
 
     private fun topic(position: TopicPosition): StoreTopic? =
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -3,55 +3,74 @@
 import arrow.core.Either
 import arrow.core.left
 import org.bulrushtack.core.platform.PlatformFailure
-import org.bulrushtack.core.store.OutageReadSchedule
 import org.bulrushtack.core.store.RecordBatch
 import org.bulrushtack.core.store.RecordStore
+import org.bulrushtack.core.store.StoreReadability
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.ForwardMetrics
 import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.log.EventLog
-import org.bulrushtack.forward.log.LogField
 
 /**
  * Polls the operators' records, the entries of backend servers and the reports of their crashes from the store. One
- * daemon polls often and passes the records on to the others. While the replica gets no records from it, the live
- * daemons take turns at trying, and one that succeeds goes on polling until another daemon's records are fresher.
+ * daemon polls often and passes the records on to the others. If it can't read the store it says so, and the next one
+ * in rank takes over. While the replica gets no records from any, the live daemons take turns at trying, and one that
+ * succeeds goes on polling until another daemon's records are fresher.
  */
 internal class StoreFollower(
     private val store: RecordStore,
     private val replica: StoreReplica,
-    private val schedule: OutageReadSchedule,
+    private val role: ReaderRole,
     private val thread: ForwardThread,
     private val metrics: ForwardMetrics,
-    private val log: EventLog,
+    log: EventLog,
 ) {
     private val polls = POLL_INTERVALS_MILLIS.mapValues { (_, millis) -> Poll(intervalMillis = millis) }
     private val startedAtMillis = thread.nowMillis()
-    private var unavailable = false
-    private var takesTurns = false
-    private var isReader = false
+    private val outageLog = StoreOutageLog(replica = replica, log = log)
 
-    /** Called when this daemon has read the store although another one should read for all. */
-    var onRead: () -> Unit = {}
+    /** Called when this daemon has read the store in place of the first one in rank, and whether it got records. */
+    var onRead: (hasRecords: Boolean) -> Unit = {}
+
+    /** Called when the other daemons have to hear whether this one can read the store. */
+    var onReadability: () -> Unit = {}
+
+    /** Whether this daemon reads on behalf of all. */
+    val isReader: Boolean get() = role.isReader
 
     /** The failed tries to read the store since this daemon's last successful one. */
-    val failures: Int get() = schedule.failures
+    val failures: Int get() = role.schedule.failures
 
-    /** Polls the topics that are due; [isReader] tells whether this daemon reads on behalf of all. */
-    fun tick(isReader: Boolean) {
+    /** Polls the topics that are due. */
+    fun tick() {
         val nowMillis = thread.nowMillis()
-        this.isReader = isReader
+        role.update(nowMillis)
         polls.forEach { (topic, poll) ->
-            val isDue = nowMillis - poll.sentAtMillis >= poll.intervalMillis
             when {
                 !poll.isStarted -> startPoll(topic, poll, nowMillis)
-                isReader && !poll.isFailing -> if (isDue) startPoll(topic, poll, nowMillis)
+                role.polls && !poll.isFailing -> if (poll.isDue(nowMillis)) startPoll(topic, poll, nowMillis)
                 poll.replacesReader && nowMillis >= poll.continuesAtMillis -> continuePoll(topic, poll, nowMillis)
             }
         }
+        takeOver(nowMillis)
         tryNext(nowMillis)
     }
 
+    /**
+     * Tries one topic at once in place of daemons that can't read the store, until the replica is overdue and all take
+     * turns.
+     */
+    private fun takeOver(nowMillis: Long) {
+        if (!role.mayTakeOver || overdueMillis(nowMillis) >= 0 || polls.values.any { it.inFlight }) return
+        val waitMillis = role.waitMillis(nowMillis)
+        if (waitMillis > 0) {
+            thread.schedule(waitMillis) { takeOver(thread.nowMillis()) }
+        } else {
+            role.recordTry()
+            polls.entries.minBy { it.value.sentAtMillis }.let { (topic, poll) -> startPoll(topic, poll, nowMillis) }
+        }
+    }
+
     /** Goes on reading in place of the usual daemon unless another one has read later. */
     private fun continuePoll(topic: StoreTopic, poll: Poll, nowMillis: Long) {
         val readMillis = nowMillis - poll.sentAtMillis
@@ -61,19 +80,24 @@
 
     /** Tries the topic whose last try is longest ago, so that one that can't be read delays no other one. */
     private fun tryNext(nowMillis: Long) {
-        val overdueMillis = polls.maxOf { (topic, poll) -> overdueMillis(topic, poll, nowMillis) }
+        val overdueMillis = overdueMillis(nowMillis)
+        val retries = role.isReader || role.isUnreadable
         val next = polls.entries.sortedBy { it.value.sentAtMillis }.firstOrNull { (topic, poll) ->
-            overdueMillis(topic, poll, nowMillis) >= 0 || (isReader && poll.isFailing)
+            overdueMillis(topic, poll, nowMillis) >= 0 || (retries && poll.isFailing)
         }
-        if (overdueMillis < 0) takesTurns = false
-        if (next != null && !next.value.inFlight && schedule.shouldTry(overdueMillis, isReader, nowMillis)) {
-            if (!isReader && !takesTurns) logTurn(next.key)
-            takesTurns = !isReader
-            next.value.replacesReader = !isReader
+        if (overdueMillis < 0) outageLog.recordTurns(isTurn = false)
+        if (next != null && !next.value.inFlight && role.schedule.shouldTry(overdueMillis, role.isReader, nowMillis)) {
+            val isTurn = !role.isReader && overdueMillis >= 0
+            outageLog.recordTurns(isTurn, next.key)
+            next.value.replacesReader = isTurn
             startPoll(next.key, next.value, nowMillis)
         }
     }
 
+    /** How long ago the records of the topic that is most overdue should have come. */
+    private fun overdueMillis(nowMillis: Long): Long =
+        polls.maxOf { (topic, poll) -> overdueMillis(topic, poll, nowMillis) }
+
     /** How long ago the records of [topic] should have come from another daemon. */
     private fun overdueMillis(topic: StoreTopic, poll: Poll, nowMillis: Long): Long {
         val ageMillis = replica.ageMillis(topic).takeIf { it != Long.MAX_VALUE } ?: (nowMillis - startedAtMillis)
@@ -84,6 +108,8 @@
         if (poll.inFlight) return
         poll.inFlight = true
         poll.sentAtMillis = nowMillis
+        review { recordSent(topic, nowMillis) }
+        thread.schedule(role.silenceMillis) { review { review(thread.nowMillis()) } }
         val offset = replica.endOffset(topic)
         val reply = if (offset < 0) store.newest(topic) else store.read(topic, offset, waitMillis = 0)
         thread.whenDone(reply) { batch, failure ->
@@ -95,53 +121,47 @@
         val nowMillis = thread.nowMillis()
         val tookMillis = nowMillis - poll.sentAtMillis
         poll.inFlight = false
-        poll.continuesAtMillis = poll.sentAtMillis + schedule.continuationMillis(poll.intervalMillis)
+        poll.continuesAtMillis = poll.sentAtMillis + role.schedule.continuationMillis(poll.intervalMillis)
         poll.isFailing = reply.isLeft()
         if (poll.isFailing) poll.replacesReader = false
         metrics.recordStoreCall(topic = topic, millis = tookMillis, failed = reply.isLeft())
         reply.fold(
-            ifLeft = {
-                schedule.recordFailure(sentAtMillis = poll.sentAtMillis, nowMillis = nowMillis)
-                if (!unavailable) logOutage(topic, it)
+            ifLeft = { failure ->
+                review { recordFailure(topic, nowMillis) }
+                val isFirstInOutage = role.isReader && overdueMillis(nowMillis) >= 0
+                val failing = if (isFirstInOutage) 1 else role.failingCount(nowMillis)
+                role.schedule.recordFailure(sentAtMillis = poll.sentAtMillis, nowMillis = nowMillis, failing = failing)
+                outageLog.recordFailure(topic, failure)
             },
             ifRight = { batch ->
-                if (unavailable) log.info("The platform's store is available again.", LogField("topic", topic))
-                unavailable = false
-                schedule.recordSuccess()
+                outageLog.recordSuccess(topic)
+                role.schedule.recordSuccess()
+                role.recordRead()
                 // The store responds again: the daemon that reads for all goes back to the other topics as well.
                 polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
-                if (!isReader) onRead()
-                startOverdue(nowMillis)
+                review { recordSuccess(topic, nowMillis) }
+                startOthers(nowMillis)
+                if (!role.isReader || role.isSubstitute) onRead(batch.records.isNotEmpty())
             },
         )
     }
 
-    /** While the store is away one topic is tried at a time; the others follow as soon as it responds. */
-    private fun startOverdue(nowMillis: Long) = polls
-        .filter { (topic, poll) -> overdueMillis(topic, poll, nowMillis) >= 0 }
+    /** Lets [judge] decide whether this daemon can read the store, and tells the others of a change. */
+    private fun review(judge: StoreReadability.() -> Unit) {
+        if (role.review(thread.nowMillis(), judge)) onReadability()
+    }
+
+    /** Where one topic is tried at a time, the others follow as soon as the store responds. */
+    private fun startOthers(nowMillis: Long) = polls
+        .filter { (topic, poll) ->
+            overdueMillis(topic, poll, nowMillis) >= 0 || (role.isReader && poll.isDue(nowMillis))
+        }
         .forEach { (topic, poll) ->
-            poll.replacesReader = !isReader
+            poll.replacesReader = !role.isReader
             startPoll(topic, poll, nowMillis)
         }
 
-    private fun logTurn(topic: StoreTopic) = log.info(
-        "No daemon passes on fresh records; this daemon takes its turns at reading the platform's store.",
-        LogField("topic", topic),
-        LogField("age_millis", replica.ageMillis(topic)),
-    )
-
-    private fun logOutage(topic: StoreTopic, failure: PlatformFailure) {
-        unavailable = true
-        log.warn(
-            "The platform's store is unavailable.",
-            LogField("topic", topic),
-            LogField("reason", failure.reason),
-            LogField("known_to", replica.endOffset(topic)),
-            LogField("age_millis", replica.ageMillis(topic)),
-        )
-    }
-
     private class Poll(
         val intervalMillis: Long,
     ) {
@@ -152,6 +172,8 @@
         var continuesAtMillis = NEVER_MILLIS
 
         val isStarted: Boolean get() = sentAtMillis != NEVER_MILLIS
+
+        fun isDue(nowMillis: Long): Boolean = nowMillis - sentAtMillis >= intervalMillis
     }
 }
 
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
@@ -0,0 +1,47 @@
+package org.bulrushtack.forward.store
+
+import org.bulrushtack.core.platform.PlatformFailure
+import org.bulrushtack.core.store.StoreTopic
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+
+/** Logs once when the store gets unavailable to this daemon and when it is back, and when the daemon takes turns. */
+internal class StoreOutageLog(
+    private val replica: StoreReplica,
+    private val log: EventLog,
+) {
+    private var unavailable = false
+    private var takesTurns = false
+
+    /** Records whether this daemon takes its turns, with [topic] as the next one to try. */
+    fun recordTurns(isTurn: Boolean, topic: StoreTopic? = null) {
+        if (isTurn && !takesTurns) {
+            log.info(
+                "No daemon passes on fresh records; this daemon takes its turns at reading the platform's store.",
+                LogField("topic", topic),
+                LogField("age_millis", topic?.let { replica.ageMillis(it) }),
+            )
+        }
+        takesTurns = isTurn
+    }
+
+    /** Records that a poll of [topic] failed. */
+    fun recordFailure(topic: StoreTopic, failure: PlatformFailure) {
+        if (!unavailable) {
+            log.warn(
+                "The platform's store is unavailable.",
+                LogField("topic", topic),
+                LogField("reason", failure.reason),
+                LogField("known_to", replica.endOffset(topic)),
+                LogField("age_millis", replica.ageMillis(topic)),
+            )
+        }
+        unavailable = true
+    }
+
+    /** Records that a poll of [topic] succeeded. */
+    fun recordSuccess(topic: StoreTopic) {
+        if (unavailable) log.info("The platform's store is available again.", LogField("topic", topic))
+        unavailable = false
+    }
+}
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -69,12 +69,13 @@
 
     /**
      * Whether a daemon whose replica of [topic] ends at [endOffset] and is [ageMillis] old has records that this one
-     * should get from it. The first daemon in rank, [isFirst], usually has the freshest; the others get them from it.
+     * should get from it. Without [isFresher], which tells that it is to have the freshest, this daemon gets them from
+     * others unless its own are old.
      */
-    fun isBehind(topic: StoreTopic, endOffset: Long, ageMillis: Long, isFirst: Boolean): Boolean {
+    fun isBehind(topic: StoreTopic, endOffset: Long, ageMillis: Long, isFresher: Boolean): Boolean {
         val ownAgeMillis = ageMillis(topic)
-        val isFresher = endOffset > endOffset(topic) || ageMillis < ownAgeMillis - MARGIN_MILLIS
-        return topic in POLL_INTERVALS_MILLIS && isFresher && (isFirst || ownAgeMillis > STALE_MILLIS)
+        val hasMore = endOffset > endOffset(topic) || ageMillis < ownAgeMillis - MARGIN_MILLIS
+        return topic in POLL_INTERVALS_MILLIS && hasMore && (isFresher || ownAgeMillis > STALE_MILLIS)
     }
 
     private fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) = when (topic) {
--- /dev/null
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/SyncTargetsTest.kt
@@ -0,0 +1,38 @@
+package org.bulrushtack.forward.peer
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import org.bulrushtack.forward.testing.FakeDaemon
+import org.bulrushtack.forward.testing.FakeRecordStore
+import org.bulrushtack.forward.testing.FakeTime
+
+class SyncTargetsTest : AnnotationSpec() {
+    private val time = FakeTime()
+
+    /** The numbers of the daemons that daemon [self] of seven chooses while those in [unreadable] can't read. */
+    private fun chosen(self: Int, unreadable: Set<Int>, choose: SyncTargets.() -> Collection<String>): List<Int> {
+        val daemons = FakeDaemon.table(self)
+        (1..DAEMONS).forEach {
+            val info = FakeDaemon.info(it).copy(storeUnreadable = it in unreadable)
+            daemons.observe(info, atMillis = 0, direct = true)
+        }
+        if (self in unreadable) daemons.self = daemons.self.copy(storeUnreadable = true)
+        val testSubject = SyncTargets(daemons, FakeDaemon.replica(daemons, FakeRecordStore(), time), ProbeSchedule())
+        return testSubject.choose().map { it.substringAfter("10.0.0.").substringBefore(':').toInt() }.sorted()
+    }
+
+    @Test
+    fun `a daemon tells the leaders and the next three that can read the store`() {
+        chosen(self = 1, unreadable = setOf(1, 4)) { readers(0).map { it.peerAddress } } shouldBe listOf(2, 3, 5, 6)
+    }
+
+    @Test
+    fun `a substitute passes records on to the leaders and the daemons near to it`() {
+        chosen(self = 3, unreadable = setOf(1, 2)) { receivers(0).map { it.peerAddress } } shouldBe
+            listOf(1, 2, 4, 5, 6, 7)
+    }
+
+    private companion object {
+        const val DAEMONS = 7
+    }
+}
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -132,6 +132,100 @@
         system.millisUntilKnown(StoreTopic.BACKEND_SERVERS, endOffset, LATE_MILLIS) shouldBeAtMost limitMillis(daemons)
     }
 
+    /** Writes changes of the operators, the first one [delayMillis] after [disturb], and returns the longest delay. */
+    private fun longestDelay(system: FakeFollowers, delayMillis: Int, disturb: FakeFollowers.() -> Unit): Int {
+        system.disturb()
+        system.advance(delayMillis)
+        return (1..CHANGES).maxOf {
+            val endOffset = system.store.append(StoreTopic.OPERATOR)
+            val millis = system.millisUntilKnown(StoreTopic.OPERATOR, endOffset, LATE_MILLIS)
+            system.advance(SHORT_PAUSE_MILLIS)
+            millis
+        }
+    }
+
+    /** Runs [disturb] at several times after calm ones, and checks all changes from then on. */
+    private fun shouldTakeOverInTime(limits: Map<Int, Int>, disturb: FakeFollowers.() -> Unit) =
+        (0 until FAULT_TIMES).forEach { time ->
+            val sizes = if (time % LARGE_FAULT_TIMES == 0) SIZES - SINGLE else listOf(SMALL)
+            forEachSystem(sizes) { system, daemons ->
+                system.advance(time * FAULT_STEP_MILLIS)
+
+                val millis = longestDelay(system, delayMillis = time % 2 * SHORT_PAUSE_MILLIS, disturb)
+
+                withClue("fault $time") { millis shouldBeAtMost limits.getValue(daemons) }
+            }
+        }
+
+    // Guards against daemons that learn only from the age of their replicas that the reader can't read the store.
+    @Test
+    fun `another daemon takes over at once from those that the store refuses`() = (1..TURNED_AWAY).forEach { refused ->
+        withClue("$refused refused") {
+            shouldTakeOverInTime(TAKE_OVER_LIMITS_MILLIS) { store.refuses = { it < refused } }
+        }
+    }
+
+    @Test
+    fun `another daemon takes over soon from two that get no reply from the store`() =
+        shouldTakeOverInTime(SILENCE_LIMITS_MILLIS) { store.isSilentTo = { it < 2 } }
+
+    // Guards against a bound that depends on all daemons being of the same build.
+    @Test
+    fun `changes arrive in time while some daemons don't tell that they can't read the store`() =
+        OLD_DAEMONS.forEach { old ->
+            withClue("old daemons $old") {
+                shouldTakeOverInTime(mapOf(SMALL to LIMIT_MILLIS, LARGE to LARGE_LIMIT_MILLIS)) {
+                    isOld = { it in old }
+                    store.refuses = { it < 2 }
+                }
+            }
+        }
+
+    @Test
+    fun `in calm one daemon reads and the others sync with the first two in rank`() = forEachSystem { system, daemons ->
+        val syncs = system.syncs
+
+        system.callsIn(OUTAGE_MILLIS) shouldBe CALM_CALLS
+
+        system.syncs - syncs shouldBe calmSyncs(daemons)
+        system.unreadable shouldBe emptyList()
+    }
+
+    // Guards against many daemons that try again by themselves as soon as they learn that the store is back.
+    @Test
+    fun `the end of an outage raises what all daemons ask by little`() = forEachSystem { system, _ ->
+        val calm = system.callsIn(CALM_MILLIS)
+        system.store.refuses = { true }
+        system.advance(OUTAGE_MILLIS)
+        system.store.refuses = { false }
+
+        system.callsIn(CALM_MILLIS) shouldBeAtMost calm + TRIES_AT_RETURN
+    }
+
+    // Guards against a reader that changes with each call to a store that fails every now and then.
+    @Test
+    fun `a store that fails now and then costs at most twice the calls and syncs of calm`() =
+        FLAP_MILLIS.forEach { flapMillis ->
+            listOf(1, 2, SMALL).forEach { failing ->
+                forEachSystem(sizes = listOf(SMALL)) { system, daemons ->
+                    val calls = system.store.calls
+                    val syncs = system.syncs
+                    repeat(OUTAGE_MILLIS / flapMillis) { time ->
+                        system.store.refuses = { time % 2 == 0 && it < failing }
+                        system.advance(flapMillis)
+                    }
+
+                    withClue("$failing daemons fail, each $flapMillis ms") {
+                        system.store.calls - calls shouldBeAtMost 2 * CALM_CALLS
+                        system.syncs - syncs shouldBeAtMost 2 * calmSyncs(daemons)
+                    }
+                }
+            }
+        }
+
+    /** Everybody syncs with the first two in rank each 400 ms. */
+    private fun calmSyncs(daemons: Int) = (2 * daemons - 2) * SYNCS
+
     private fun limitMillis(daemons: Int) = if (daemons == LARGE) LARGE_LIMIT_MILLIS else LIMIT_MILLIS
 
     private companion object {
@@ -150,6 +244,23 @@
         const val MANY_CHANGES = 20
         const val SHORT_PAUSE_MILLIS = 130
 
+        const val FAULT_TIMES = 6
+        const val LARGE_FAULT_TIMES = 3
+        const val FAULT_STEP_MILLIS = 83
+
+        /** In 20 s: two topics twice a second and one once, and a sync each 400 ms. */
+        const val CALM_CALLS = 100
+        const val SYNCS = OUTAGE_MILLIS / 400
+        const val TRIES_AT_RETURN = 10
+        val OLD_DAEMONS = listOf(setOf(0), setOf(1), setOf(0, 1), (2..LARGE).toSet())
+        val FLAP_MILLIS = listOf(50, 150, 400, 1_000, 2_500)
+
+        /** Half of the time in which a change has to reach every daemon; more where not all get it directly. */
+        val TAKE_OVER_LIMITS_MILLIS = mapOf(SMALL to 1_000, LARGE to 1_200)
+
+        /** A poll counts as failed after 0.4 s without a reply. */
+        val SILENCE_LIMITS_MILLIS = TAKE_OVER_LIMITS_MILLIS.mapValues { (_, millis) -> millis + 400 }
+
         /** The time in which a change of the configuration has to reach every daemon. */
         const val LIMIT_MILLIS = 2_000
         const val LARGE_LIMIT_MILLIS = 3_000
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
@@ -1,5 +1,9 @@
 package org.bulrushtack.forward.testing
 
+import org.bulrushtack.core.daemon.DaemonInfo
+import org.bulrushtack.core.daemon.DaemonTable
+import org.bulrushtack.core.daemon.isSubstituteReader
+import org.bulrushtack.core.daemon.ranked
 import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.store.OutageReadSchedule
 import org.bulrushtack.core.store.ReadTurn
@@ -9,13 +13,16 @@
 import org.bulrushtack.core.store.StoreUpdate
 import org.bulrushtack.forward.ForwardMetrics
 import org.bulrushtack.forward.log.EventLogs
+import org.bulrushtack.forward.peer.ProbeSchedule
+import org.bulrushtack.forward.peer.SyncTargets
 import org.bulrushtack.forward.peer.announcedAgeMillis
+import org.bulrushtack.forward.store.ReaderRole
 import org.bulrushtack.forward.store.StoreFollower
 import kotlin.random.Random
 
 /**
  * The followers of [count] daemons with one store. Each syncs every 400 ms with the first two daemons, as
- * `PeerSync` does, and each of these gets the records of one daemon that is ahead of it.
+ * `PeerSync` does, and each of these gets the records of one daemon that is ahead of it. All count as live.
  *
  * @param link how long a sync takes, and how exactly the daemons measure that
  */
@@ -30,6 +37,16 @@
     val store = FakeSharedStore(time)
     private val daemons = (0 until count).map { Daemon(it) }
 
+    /** Whether the daemon with this number is of a build that knows nothing of daemons that can't read the store. */
+    var isOld: (number: Int) -> Boolean = { false }
+
+    /** The syncs that all daemons have started so far. */
+    var syncs = 0
+        private set
+
+    /** The numbers of the daemons that say that they can't read the store. */
+    val unreadable: List<Int> get() = daemons.filter { it.table.self.storeUnreadable }.map { it.number }
+
     /** Whether the daemon with this number does nothing, as one that is frozen or killed. */
     var isStopped: (number: Int) -> Boolean = { false }
 
@@ -65,46 +82,98 @@
         val number: Int,
     ) {
         private val phaseMillis = random.nextInt(SYNC_MILLIS)
-        private var pulls = false
+        private var pulling: Daemon? = null
+        private var pullsAgain = false
         private var stoppedMillis = 0
         private val client = store.client(number)
-        private val table = FakeDaemon.table(number)
+        val table = FakeDaemon.table(number).also { table ->
+            (0 until count).forEach { table.observe(FakeDaemon.info(it), atMillis = ALWAYS_MILLIS, direct = false) }
+        }
         private val state = FakeDaemon.state(table)
         val replica = FakeDaemon.replica(table, client, time, state, decoder = ::decode)
         private val follower = StoreFollower(
             store = client,
             replica = replica,
-            schedule = OutageReadSchedule(turn = { ReadTurn(index = number, count = count) }, random = random),
+            role = ReaderRole(
+                daemons = table,
+                schedule = OutageReadSchedule(turn = { ReadTurn(index = number, count = count) }, random = random),
+            ),
             thread = time.thread,
             metrics = ForwardMetrics(),
             log = logs.forComponent("store"),
-        ).also { it.onRead = ::sync }
+        ).also {
+            it.onRead = { hasRecords ->
+                syncWithAll(if (hasRecords) targets.receivers(time.nowMillis()) else targets.sources(time.nowMillis()))
+            }
+            it.onReadability = { if (!isOld(number)) syncWithAll(targets.readers(time.nowMillis())) }
+        }
+        private val targets = SyncTargets(daemons = table, replica = replica, probes = ProbeSchedule())
 
         fun uses(id: String) = state.fleet.usable(id, time.nowMillis()) != null
 
         fun run(nowMillis: Long) {
+            val wasStopped = stoppedMillis > 0
             stoppedMillis = if (isStopped(number)) stoppedMillis + 1 else 0
+            if (stoppedMillis == UNRESPONSIVE_MILLIS) daemons.forEach { it.table.ignore(this) }
+            if (wasStopped && stoppedMillis == 0) daemons.forEach { it.learn(table.self, direct = true) }
             if (stoppedMillis > 0) return
-            if ((nowMillis + phaseMillis) % TICK_MILLIS == 0L) follower.tick(isReader = this === leaders().first())
+            if ((nowMillis + phaseMillis) % TICK_MILLIS == 0L) follower.tick()
             if ((nowMillis + phaseMillis) % SYNC_MILLIS == 0L) sync()
         }
 
-        /** The first daemons, without those that have not responded for as long as a sync may take. */
-        private fun leaders() = daemons.filter { it.stoppedMillis < UNRESPONSIVE_MILLIS }.take(LEADERS)
+        /** A daemon that hasn't responded for as long as a sync may take counts as unresponsive until it runs again. */
+        private fun DaemonTable.ignore(stopped: Daemon) =
+            markUnresponsive(stopped.table.self.peerAddress, ALWAYS_MILLIS)
+
+        private fun sync() = syncWithAll(targets.sources(time.nowMillis()))
+
+        private fun syncWithAll(infos: List<DaemonInfo>) =
+            infos.map { daemons[it.rank!!.toInt()] }.filter { it !== this && it.stoppedMillis == 0 }.forEach(::syncWith)
 
-        private fun sync() = leaders().filter { it !== this && it.stoppedMillis == 0 }.forEach { leader ->
-            val isAhead = StoreTopic.entries.any {
-                val isFirst = leader === leaders().first()
-                leader.replica.isBehind(it, replica.endOffset(it), replica.announcedAgeMillis(it), isFirst)
+        private fun syncWith(peer: Daemon) {
+            syncs += 1
+            copyFrom(peer)
+            peer.tell(this, afterMillis = link.roundTripMillis)
+            tell(peer, afterMillis = link.roundTripMillis / 2)
+            val positions = StoreTopic.entries.associateWith { replica.endOffset(it) to replica.announcedAgeMillis(it) }
+            time.thread.schedule(link.roundTripMillis / 2) { if (peer.isBehind(this, positions)) peer.pullFrom(this) }
+        }
+
+        /** Whether this daemon lacks records of [sender], which goes as far as [positions] at their ages. */
+        private fun isBehind(sender: Daemon, positions: Map<StoreTopic, Pair<Long, Long>>): Boolean {
+            val isFirst = table.ranked(time.nowMillis()).first().name == table.self.name
+            val isSubstitute = table.isSubstituteReader(sender.table.self.name, time.nowMillis())
+            return positions.any { (topic, position) ->
+                val (endOffset, ageMillis) = position
+                replica.isBehind(topic, endOffset, ageMillis, isFresher = isFirst || isSubstitute)
+            }
+        }
+
+        /** Tells [peer] who can't read the store, as far as this daemon knows. */
+        private fun tell(peer: Daemon, afterMillis: Long) {
+            val known = table.live(time.nowMillis()) + table.self
+            val news = known.filter { it.revision > 0 && !isOld(it.rank!!.toInt()) }
+            if (news.isEmpty()) return
+            time.thread.schedule(afterMillis) {
+                news.forEach { peer.learn(it, direct = it.name == table.self.name) }
             }
-            copyFrom(leader)
-            if (isAhead && !leader.pulls) leader.pullFrom(this)
+        }
+
+        private fun learn(news: DaemonInfo, direct: Boolean) {
+            val known = if (isOld(number)) news.copy(storeUnreadable = false) else news
+            if (table.observe(known, atMillis = ALWAYS_MILLIS, direct = direct) && stoppedMillis == 0) follower.tick()
         }
 
         private fun pullFrom(other: Daemon) {
-            pulls = true
+            if (pulling == other) pullsAgain = true
+            if (pulling != null) return
+            pulling = other
             copyFrom(other)
-            time.thread.schedule(link.roundTripMillis) { pulls = false }
+            time.thread.schedule(link.roundTripMillis) {
+                pulling = null
+                if (pullsAgain) pullFrom(other)
+                pullsAgain = false
+            }
         }
 
         private fun copyFrom(other: Daemon) = StoreTopic.entries.forEach { topic ->
@@ -150,7 +219,7 @@
     private companion object {
         const val TICK_MILLIS = 100
         const val SYNC_MILLIS = 400
-        const val LEADERS = 2
+        const val ALWAYS_MILLIS = Long.MAX_VALUE / 2
         const val UNRESPONSIVE_MILLIS = 750
         val EMPTY = RecordBatch(records = emptyList(), complete = false, endOffset = 0)
     }
--- a/protocol/src/main/java/org/bulrushtack/protocol/CoordinationOuterClass.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/CoordinationOuterClass.java
@@ -130,97 +130,98 @@
   static {
     java.lang.String[] descriptorData = {
       "\n\022coordination.proto\022\033bulrushtack.coordi" +
-      "nation.v1\"\263\002\n\014DaemonRecord\022\014\n\004name\030\001 \001(\t" +
+      "nation.v1\"\315\002\n\014DaemonRecord\022\014\n\004name\030\001 \001(\t" +
       "\022\023\n\013incarnation\030\002 \001(\t\022\023\n\013data_centre\030\003 \001" +
       "(\t\022\024\n\014peer_address\030\004 \001(\t\022\025\n\rfront_addres" +
       "s\030\005 \001(\t\022\014\n\004rank\030\006 \001(\003\022\r\n\005ready\030\007 \001(\010\022\017\n\007" +
       "leaving\030\010 \001(\010\022\022\n\nage_millis\030\t \001(\003\022\020\n\010rev" +
       "ision\030\n \001(\003\022\022\n\nduty_token\030\013 \001(\003\022\020\n\010capac" +
       "ity\030\014 \001(\003\022\025\n\rlink_capacity\030\r \001(\003\022\020\n\010pres" +
-      "sure\030\016 \001(\003\022\033\n\023servers_unreachable\030\017 \001(\010\"" +
-      "1\n\tPlainLoad\022\021\n\tserver_id\030\001 \001(\t\022\021\n\tin_fl" +
-      "ight\030\002 \001(\003\"}\n\017ServicePressure\022\017\n\007service" +
-      "\030\001 \001(\t\022\025\n\rplaced_millis\030\002 \001(\001\022\026\n\016waiting" +
-      "_millis\030\003 \003(\001\022\026\n\016usable_engines\030\004 \001(\005\022\022\n" +
-      "\nage_millis\030\005 \001(\003\">\n\nUsageCount\022\016\n\006windo" +
-      "w\030\001 \001(\003\022\021\n\tworkspace\030\002 \001(\t\022\r\n\005count\030\003 \001(" +
-      "\003\"\222\001\n\rServiceDemand\022\017\n\007service\030\001 \001(\t\022\026\n\016" +
-      "short_requests\030\002 \001(\003\022\025\n\rlong_requests\030\003 " +
-      "\001(\003\022\024\n\014short_millis\030\004 \001(\001\022\023\n\013long_millis" +
-      "\030\005 \001(\001\022\026\n\016waiting_millis\030\006 \001(\001\"\246\001\n\nLoadR" +
-      "eport\022\016\n\006daemon\030\001 \001(\t\022\023\n\013incarnation\030\002 \001" +
-      "(\t\0226\n\005usage\030\003 \003(\0132\'.bulrushtack.coordina" +
-      "tion.v1.UsageCount\022;\n\007demands\030\004 \003(\0132*.bu" +
-      "lrushtack.coordination.v1.ServiceDemand\"" +
-      "%\n\017LoadReportReply\022\022\n\nduty_token\030\001 \001(\003\"\267" +
-      "\001\n\016ResidentRecord\022\024\n\014placement_id\030\001 \001(\t\022" +
-      "\021\n\tserver_id\030\002 \001(\t\022\016\n\006writes\030\003 \001(\010\022\025\n\rme" +
-      "mory_tokens\030\004 \001(\003\022\026\n\016context_tokens\030\005 \001(" +
-      "\003\022\023\n\013read_millis\030\006 \001(\001\022\024\n\014pause_millis\030\007" +
-      " \001(\003\022\022\n\nage_millis\030\010 \001(\003\"F\n\rTopicPositio" +
-      "n\022\r\n\005topic\030\001 \001(\t\022\022\n\nend_offset\030\002 \001(\003\022\022\n\n" +
-      "age_millis\030\003 \001(\003\"^\n\013TopicRecord\022\013\n\003key\030\001" +
-      " \001(\t\022\016\n\006offset\030\002 \001(\003\022\017\n\007dropped\030\003 \001(\010\022\r\n" +
-      "\005value\030\004 \001(\014\022\022\n\ncompressed\030\005 \001(\010\"\220\001\n\nTop" +
-      "icBatch\022\r\n\005topic\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010" +
-      "\022\022\n\nend_offset\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003" +
-      "\0229\n\007records\030\005 \003(\0132(.bulrushtack.coordina" +
-      "tion.v1.TopicRecord\"\214\003\n\013SyncRequest\0229\n\006s" +
-      "ender\030\001 \001(\0132).bulrushtack.coordination.v" +
-      "1.DaemonRecord\022=\n\tpositions\030\002 \003(\0132*.bulr" +
-      "ushtack.coordination.v1.TopicPosition\022>\n" +
-      "\tresidents\030\003 \003(\0132+.bulrushtack.coordinat" +
-      "ion.v1.ResidentRecord\022:\n\007daemons\030\004 \003(\0132)" +
-      ".bulrushtack.coordination.v1.DaemonRecor" +
-      "d\022\030\n\020view_incarnation\030\005 \001(\t\022\024\n\014view_vers" +
-      "ion\030\006 \001(\003\022\032\n\022time_of_day_millis\030\007 \001(\003\022;\n" +
-      "\013plain_loads\030\010 \003(\0132&.bulrushtack.coordin" +
-      "ation.v1.PlainLoad\"\217\003\n\tSyncReply\0229\n\006send" +
-      "er\030\001 \001(\0132).bulrushtack.coordination.v1.D" +
-      "aemonRecord\022:\n\007daemons\030\002 \003(\0132).bulrushta" +
-      "ck.coordination.v1.DaemonRecord\0228\n\007batch" +
-      "es\030\003 \003(\0132\'.bulrushtack.coordination.v1.T" +
-      "opicBatch\022\024\n\014view_version\030\004 \001(\003\022\025\n\rview_" +
-      "complete\030\005 \001(\010\022\014\n\004gone\030\006 \003(\t\022\030\n\020true_tim" +
-      "e_millis\030\007 \001(\003\022;\n\013plain_loads\030\010 \003(\0132&.bu" +
-      "lrushtack.coordination.v1.PlainLoad\022?\n\tp" +
-      "ressures\030\t \003(\0132,.bulrushtack.coordinatio" +
-      "n.v1.ServicePressure\"\306\002\n\014PlaceRequest\022\n\n" +
-      "\002id\030\001 \001(\t\022\r\n\005taker\030\002 \001(\t\022\017\n\007service\030\003 \001(" +
-      "\t\022\023\n\013data_centre\030\004 \001(\t\022\025\n\rprompt_tokens\030" +
-      "\005 \001(\003\022\025\n\ranswer_tokens\030\006 \001(\003\022\035\n\025maximum_" +
-      "answer_tokens\030\007 \001(\003\022\024\n\014pause_millis\030\010 \001(" +
-      "\003\022\020\n\010priority\030\t \001(\005\022\025\n\rwaited_millis\030\n \001" +
-      "(\003\022\033\n\023objective_in_millis\030\013 \001(\003\022\031\n\021give_" +
-      "up_in_millis\030\014 \001(\003\022\020\n\010excluded\030\r \003(\t\022\021\n\t" +
-      "workspace\030\016 \001(\t\022\014\n\004kind\030\017 \001(\t\"F\n\tPlacePa" +
-      "rt\022\021\n\tserver_id\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\025" +
-      "\n\rticket_tokens\030\003 \001(\003\"\016\n\014PlaceWaiting\"\253\001" +
-      "\n\006Placed\0225\n\005first\030\001 \001(\0132&.bulrushtack.co" +
-      "ordination.v1.PlacePart\0227\n\007helpers\030\002 \003(\013" +
-      "2&.bulrushtack.coordination.v1.PlacePart" +
-      "\022\032\n\022first_event_millis\030\003 \001(\001\022\025\n\rwaited_m" +
-      "illis\030\004 \001(\003\"H\n\014PlaceRefused\022\014\n\004kind\030\001 \001(" +
-      "\t\022\032\n\022retry_after_millis\030\002 \001(\003\022\016\n\006reason\030" +
-      "\003 \001(\t\"\311\001\n\nPlaceReply\022<\n\007waiting\030\001 \001(\0132)." +
-      "bulrushtack.coordination.v1.PlaceWaiting" +
-      "H\000\0225\n\006placed\030\002 \001(\0132#.bulrushtack.coordin" +
-      "ation.v1.PlacedH\000\022<\n\007refused\030\003 \001(\0132).bul" +
-      "rushtack.coordination.v1.PlaceRefusedH\000B" +
-      "\010\n\006result\"\\\n\016ReleaseRequest\022\024\n\014placement" +
-      "_id\030\001 \001(\t\022\021\n\tserver_id\030\002 \001(\t\022\017\n\007outcome\030" +
-      "\003 \001(\t\022\020\n\010slowness\030\004 \001(\001\"\016\n\014ReleaseReply2" +
-      "\217\003\n\014Coordination\022X\n\004Sync\022(.bulrushtack.c" +
-      "oordination.v1.SyncRequest\032&.bulrushtack" +
-      ".coordination.v1.SyncReply\022]\n\005Place\022).bu" +
-      "lrushtack.coordination.v1.PlaceRequest\032\'" +
-      ".bulrushtack.coordination.v1.PlaceReply0" +
-      "\001\022a\n\007Release\022+.bulrushtack.coordination." +
-      "v1.ReleaseRequest\032).bulrushtack.coordina" +
-      "tion.v1.ReleaseReply\022c\n\nReportLoad\022\'.bul" +
-      "rushtack.coordination.v1.LoadReport\032,.bu" +
-      "lrushtack.coordination.v1.LoadReportRepl" +
-      "yB\034\n\030org.bulrushtack.protocolP\001b\006proto3"
+      "sure\030\016 \001(\003\022\033\n\023servers_unreachable\030\017 \001(\010\022" +
+      "\030\n\020store_unreadable\030\020 \001(\010\"1\n\tPlainLoad\022\021" +
+      "\n\tserver_id\030\001 \001(\t\022\021\n\tin_flight\030\002 \001(\003\"}\n\017" +
+      "ServicePressure\022\017\n\007service\030\001 \001(\t\022\025\n\rplac" +
+      "ed_millis\030\002 \001(\001\022\026\n\016waiting_millis\030\003 \003(\001\022" +
+      "\026\n\016usable_engines\030\004 \001(\005\022\022\n\nage_millis\030\005 " +
+      "\001(\003\">\n\nUsageCount\022\016\n\006window\030\001 \001(\003\022\021\n\twor" +
+      "kspace\030\002 \001(\t\022\r\n\005count\030\003 \001(\003\"\222\001\n\rServiceD" +
+      "emand\022\017\n\007service\030\001 \001(\t\022\026\n\016short_requests" +
+      "\030\002 \001(\003\022\025\n\rlong_requests\030\003 \001(\003\022\024\n\014short_m" +
+      "illis\030\004 \001(\001\022\023\n\013long_millis\030\005 \001(\001\022\026\n\016wait" +
+      "ing_millis\030\006 \001(\001\"\246\001\n\nLoadReport\022\016\n\006daemo" +
+      "n\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\0226\n\005usage\030\003 " +
+      "\003(\0132\'.bulrushtack.coordination.v1.UsageC" +
+      "ount\022;\n\007demands\030\004 \003(\0132*.bulrushtack.coor" +
+      "dination.v1.ServiceDemand\"%\n\017LoadReportR" +
+      "eply\022\022\n\nduty_token\030\001 \001(\003\"\267\001\n\016ResidentRec" +
+      "ord\022\024\n\014placement_id\030\001 \001(\t\022\021\n\tserver_id\030\002" +
+      " \001(\t\022\016\n\006writes\030\003 \001(\010\022\025\n\rmemory_tokens\030\004 " +
+      "\001(\003\022\026\n\016context_tokens\030\005 \001(\003\022\023\n\013read_mill" +
+      "is\030\006 \001(\001\022\024\n\014pause_millis\030\007 \001(\003\022\022\n\nage_mi" +
+      "llis\030\010 \001(\003\"F\n\rTopicPosition\022\r\n\005topic\030\001 \001" +
+      "(\t\022\022\n\nend_offset\030\002 \001(\003\022\022\n\nage_millis\030\003 \001" +
+      "(\003\"^\n\013TopicRecord\022\013\n\003key\030\001 \001(\t\022\016\n\006offset" +
+      "\030\002 \001(\003\022\017\n\007dropped\030\003 \001(\010\022\r\n\005value\030\004 \001(\014\022\022" +
+      "\n\ncompressed\030\005 \001(\010\"\220\001\n\nTopicBatch\022\r\n\005top" +
+      "ic\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010\022\022\n\nend_offset" +
+      "\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003\0229\n\007records\030\005 " +
+      "\003(\0132(.bulrushtack.coordination.v1.TopicR" +
+      "ecord\"\214\003\n\013SyncRequest\0229\n\006sender\030\001 \001(\0132)." +
+      "bulrushtack.coordination.v1.DaemonRecord" +
+      "\022=\n\tpositions\030\002 \003(\0132*.bulrushtack.coordi" +
+      "nation.v1.TopicPosition\022>\n\tresidents\030\003 \003" +
+      "(\0132+.bulrushtack.coordination.v1.Residen" +
+      "tRecord\022:\n\007daemons\030\004 \003(\0132).bulrushtack.c" +
+      "oordination.v1.DaemonRecord\022\030\n\020view_inca" +
+      "rnation\030\005 \001(\t\022\024\n\014view_version\030\006 \001(\003\022\032\n\022t" +
+      "ime_of_day_millis\030\007 \001(\003\022;\n\013plain_loads\030\010" +
+      " \003(\0132&.bulrushtack.coordination.v1.Plain" +
+      "Load\"\217\003\n\tSyncReply\0229\n\006sender\030\001 \001(\0132).bul" +
+      "rushtack.coordination.v1.DaemonRecord\022:\n" +
+      "\007daemons\030\002 \003(\0132).bulrushtack.coordinatio" +
+      "n.v1.DaemonRecord\0228\n\007batches\030\003 \003(\0132\'.bul" +
+      "rushtack.coordination.v1.TopicBatch\022\024\n\014v" +
+      "iew_version\030\004 \001(\003\022\025\n\rview_complete\030\005 \001(\010" +
+      "\022\014\n\004gone\030\006 \003(\t\022\030\n\020true_time_millis\030\007 \001(\003" +
+      "\022;\n\013plain_loads\030\010 \003(\0132&.bulrushtack.coor" +
+      "dination.v1.PlainLoad\022?\n\tpressures\030\t \003(\013" +
+      "2,.bulrushtack.coordination.v1.ServicePr" +
+      "essure\"\306\002\n\014PlaceRequest\022\n\n\002id\030\001 \001(\t\022\r\n\005t" +
+      "aker\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\023\n\013data_cent" +
+      "re\030\004 \001(\t\022\025\n\rprompt_tokens\030\005 \001(\003\022\025\n\ranswe" +
+      "r_tokens\030\006 \001(\003\022\035\n\025maximum_answer_tokens\030" +
+      "\007 \001(\003\022\024\n\014pause_millis\030\010 \001(\003\022\020\n\010priority\030" +
+      "\t \001(\005\022\025\n\rwaited_millis\030\n \001(\003\022\033\n\023objectiv" +
+      "e_in_millis\030\013 \001(\003\022\031\n\021give_up_in_millis\030\014" +
+      " \001(\003\022\020\n\010excluded\030\r \003(\t\022\021\n\tworkspace\030\016 \001(" +
+      "\t\022\014\n\004kind\030\017 \001(\t\"F\n\tPlacePart\022\021\n\tserver_i" +
+      "d\030\001 \001(\t\022\017\n\007address\030\002 \001(\t\022\025\n\rticket_token" +
+      "s\030\003 \001(\003\"\016\n\014PlaceWaiting\"\253\001\n\006Placed\0225\n\005fi" +
+      "rst\030\001 \001(\0132&.bulrushtack.coordination.v1." +
+      "PlacePart\0227\n\007helpers\030\002 \003(\0132&.bulrushtack" +
+      ".coordination.v1.PlacePart\022\032\n\022first_even" +
+      "t_millis\030\003 \001(\001\022\025\n\rwaited_millis\030\004 \001(\003\"H\n" +
+      "\014PlaceRefused\022\014\n\004kind\030\001 \001(\t\022\032\n\022retry_aft" +
+      "er_millis\030\002 \001(\003\022\016\n\006reason\030\003 \001(\t\"\311\001\n\nPlac" +
+      "eReply\022<\n\007waiting\030\001 \001(\0132).bulrushtack.co" +
+      "ordination.v1.PlaceWaitingH\000\0225\n\006placed\030\002" +
+      " \001(\0132#.bulrushtack.coordination.v1.Place" +
+      "dH\000\022<\n\007refused\030\003 \001(\0132).bulrushtack.coord" +
+      "ination.v1.PlaceRefusedH\000B\010\n\006result\"\\\n\016R" +
+      "eleaseRequest\022\024\n\014placement_id\030\001 \001(\t\022\021\n\ts" +
+      "erver_id\030\002 \001(\t\022\017\n\007outcome\030\003 \001(\t\022\020\n\010slown" +
+      "ess\030\004 \001(\001\"\016\n\014ReleaseReply2\217\003\n\014Coordinati" +
+      "on\022X\n\004Sync\022(.bulrushtack.coordination.v1" +
+      ".SyncRequest\032&.bulrushtack.coordination." +
+      "v1.SyncReply\022]\n\005Place\022).bulrushtack.coor" +
+      "dination.v1.PlaceRequest\032\'.bulrushtack.c" +
+      "oordination.v1.PlaceReply0\001\022a\n\007Release\022+" +
+      ".bulrushtack.coordination.v1.ReleaseRequ" +
+      "est\032).bulrushtack.coordination.v1.Releas" +
+      "eReply\022c\n\nReportLoad\022\'.bulrushtack.coord" +
+      "ination.v1.LoadReport\032,.bulrushtack.coor" +
+      "dination.v1.LoadReportReplyB\034\n\030org.bulru" +
+      "shtack.protocolP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -231,7 +232,7 @@
     internal_static_bulrushtack_coordination_v1_DaemonRecord_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_DaemonRecord_descriptor,
-        new java.lang.String[] { "Name", "Incarnation", "DataCentre", "PeerAddress", "FrontAddress", "Rank", "Ready", "Leaving", "AgeMillis", "Revision", "DutyToken", "Capacity", "LinkCapacity", "Pressure", "ServersUnreachable", });
+        new java.lang.String[] { "Name", "Incarnation", "DataCentre", "PeerAddress", "FrontAddress", "Rank", "Ready", "Leaving", "AgeMillis", "Revision", "DutyToken", "Capacity", "LinkCapacity", "Pressure", "ServersUnreachable", "StoreUnreadable", });
     internal_static_bulrushtack_coordination_v1_PlainLoad_descriptor =
       getDescriptor().getMessageTypes().get(1);
     internal_static_bulrushtack_coordination_v1_PlainLoad_fieldAccessorTable = new
--- a/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecord.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecord.java
@@ -381,6 +381,21 @@
     return serversUnreachable_;
   }
 
+  public static final int STORE_UNREADABLE_FIELD_NUMBER = 16;
+  private boolean storeUnreadable_ = false;
+  /**
+   * <pre>
+   * Whether the daemon can't read the platform's store at present, so that the next one in rank reads it for all.
+   * </pre>
+   *
+   * <code>bool store_unreadable = 16;</code>
+   * @return The storeUnreadable.
+   */
+  @java.lang.Override
+  public boolean getStoreUnreadable() {
+    return storeUnreadable_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -440,6 +455,9 @@
     if (serversUnreachable_ != false) {
       output.writeBool(15, serversUnreachable_);
     }
+    if (storeUnreadable_ != false) {
+      output.writeBool(16, storeUnreadable_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -504,6 +522,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(15, serversUnreachable_);
     }
+    if (storeUnreadable_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(16, storeUnreadable_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -549,6 +571,8 @@
         != other.getPressure()) return false;
     if (getServersUnreachable()
         != other.getServersUnreachable()) return false;
+    if (getStoreUnreadable()
+        != other.getStoreUnreadable()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -600,6 +624,9 @@
     hash = (37 * hash) + SERVERS_UNREACHABLE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getServersUnreachable());
+    hash = (37 * hash) + STORE_UNREADABLE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getStoreUnreadable());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -746,6 +773,7 @@
       linkCapacity_ = 0L;
       pressure_ = 0L;
       serversUnreachable_ = false;
+      storeUnreadable_ = false;
       return this;
     }
 
@@ -824,6 +852,9 @@
       if (((from_bitField0_ & 0x00004000) != 0)) {
         result.serversUnreachable_ = serversUnreachable_;
       }
+      if (((from_bitField0_ & 0x00008000) != 0)) {
+        result.storeUnreadable_ = storeUnreadable_;
+      }
     }
 
     @java.lang.Override
@@ -925,6 +956,9 @@
       if (other.getServersUnreachable() != false) {
         setServersUnreachable(other.getServersUnreachable());
       }
+      if (other.getStoreUnreadable() != false) {
+        setStoreUnreadable(other.getStoreUnreadable());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1026,6 +1060,11 @@
               bitField0_ |= 0x00004000;
               break;
             } // case 120
+            case 128: {
+              storeUnreadable_ = input.readBool();
+              bitField0_ |= 0x00008000;
+              break;
+            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1818,6 +1857,50 @@
       onChanged();
       return this;
     }
+
+    private boolean storeUnreadable_ ;
+    /**
+     * <pre>
+     * Whether the daemon can't read the platform's store at present, so that the next one in rank reads it for all.
+     * </pre>
+     *
+     * <code>bool store_unreadable = 16;</code>
+     * @return The storeUnreadable.
+     */
+    @java.lang.Override
+    public boolean getStoreUnreadable() {
+      return storeUnreadable_;
+    }
+    /**
+     * <pre>
+     * Whether the daemon can't read the platform's store at present, so that the next one in rank reads it for all.
+     * </pre>
+     *
+     * <code>bool store_unreadable = 16;</code>
+     * @param value The storeUnreadable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreUnreadable(boolean value) {
+
+      storeUnreadable_ = value;
+      bitField0_ |= 0x00008000;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the daemon can't read the platform's store at present, so that the next one in rank reads it for all.
+     * </pre>
+     *
+     * <code>bool store_unreadable = 16;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreUnreadable() {
+      bitField0_ = (bitField0_ & ~0x00008000);
+      storeUnreadable_ = false;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecordOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/DaemonRecordOrBuilder.java
@@ -159,4 +159,14 @@
    * @return The serversUnreachable.
    */
   boolean getServersUnreachable();
+
+  /**
+   * <pre>
+   * Whether the daemon can't read the platform's store at present, so that the next one in rank reads it for all.
+   * </pre>
+   *
+   * <code>bool store_unreadable = 16;</code>
+   * @return The storeUnreadable.
+   */
+  boolean getStoreUnreadable();
 }
