Every daemon syncs with the one that reads the store, also if that isn't among the first two in rank

What callers saw: while a substitute read the store, its records reached the other daemons only by way of the first two in rank, which may be refused, slow or unreachable themselves: one round of syncs more.

Cause: the choice of the reader and the choice of sync targets followed different rules.

Change: `SyncTargets` adds `storeReader`. In calm that is the first one in rank, so nothing changes.

SyncTargetsTest, red before ([1, 2] where [1, 2, 3] is due), green after:

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -16,8 +16,9 @@
 import org.bulrushtack.protocol.SyncRequest
 
 /**
- * Syncs with peers: sends this daemon's state to the leader and to the next daemon in rank, applies their
- * replies, and handles the sync requests of others. While the replica is stale, it syncs with other daemons as well.
+ * Syncs with peers: sends this daemon's state to the leader, the next daemon in rank and the one that reads the store,
+ * applies their replies, and handles the sync requests of others. While the replica is stale, it syncs with other
+ * daemons as well.
  */
 internal class PeerSync(
     private val daemons: DaemonTable,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/SyncTargets.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/SyncTargets.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.daemon.leaderCandidates
 import org.bulrushtack.core.daemon.ranked
+import org.bulrushtack.core.daemon.storeReader
 import org.bulrushtack.forward.store.StoreReplica
 
 /** Chooses the daemons with which this one syncs. */
@@ -17,8 +18,9 @@
     /** The leader and the next daemon in rank, which get every daemon's state and pass on the records. */
     fun leaders(nowMillis: Long): List<DaemonInfo> = daemons.ranked(nowMillis).take(SYNCED_LEADERS)
 
-    /** The daemons that have the freshest records. */
-    fun sources(nowMillis: Long): List<DaemonInfo> = leaders(nowMillis)
+    /** The daemons that have the freshest records: the leaders, and the one that reads the store for all. */
+    fun sources(nowMillis: Long): List<DaemonInfo> =
+        (leaders(nowMillis) + listOfNotNull(daemons.storeReader(nowMillis))).distinctBy { it.name }
 
     /**
      * The addresses of the daemons with which a sync is due at [nowMillis]: the leaders, the reader, some without a
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/SyncTargetsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/SyncTargetsTest.kt
@@ -2,6 +2,8 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
+import org.bulrushtack.core.store.RecordBatch
+import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.testing.FakeDaemon
 import org.bulrushtack.forward.testing.FakeRecordStore
 import org.bulrushtack.forward.testing.FakeTime
@@ -17,7 +19,10 @@
             daemons.observe(info, atMillis = 0, direct = true)
         }
         if (self in unreadable) daemons.self = daemons.self.copy(storeUnreadable = true)
-        val testSubject = SyncTargets(daemons, FakeDaemon.replica(daemons, FakeRecordStore(), time), ProbeSchedule())
+        val replica = FakeDaemon.replica(daemons, FakeRecordStore(), time)
+        val batch = RecordBatch(records = emptyList(), complete = true, endOffset = 0)
+        StoreTopic.entries.forEach { replica.merge(it, batch, ageMillis = 0, source = "vm-1") }
+        val testSubject = SyncTargets(daemons, replica, ProbeSchedule())
         return testSubject.choose().map { it.substringAfter("10.0.0.").substringBefore(':').toInt() }.sorted()
     }
 
@@ -32,6 +37,19 @@
             listOf(1, 2, 4, 5, 6, 7)
     }
 
+    // Guards against a reader whose records reach the others only by way of the leaders, which may fail as well.
+    @Test
+    fun `each daemon syncs with the leaders and with the daemon that reads for all`() {
+        synced(self = 7, unreadable = setOf(1, 2)) shouldBe listOf(1, 2, 3)
+        synced(self = 1, unreadable = setOf(1, 2, 3)) shouldBe listOf(2, 4)
+        synced(self = 7, unreadable = setOf(1)) shouldBe listOf(1, 2)
+        synced(self = 3, unreadable = setOf(1, 2)) shouldBe listOf(1, 2)
+        synced(self = 7, unreadable = emptySet()) shouldBe listOf(1, 2)
+        synced(self = 7, unreadable = (1..DAEMONS).toSet()) shouldBe listOf(1, 2)
+    }
+
+    private fun synced(self: Int, unreadable: Set<Int>) = chosen(self, unreadable) { due(0) }
+
     private companion object {
         const val DAEMONS = 7
     }
