Keep a lost server out of use until an entry is read after the loss

What callers saw: nothing that the record shows; found while all merges of server state were looked at. Requests go to a server at whose address nothing listens, or another one responds.

Cause: a daemon that finds a server lost (421, or nothing listens) used it again after any entry of it, also one that another daemon had read from the store before the loss and passed on later.

Change: the loss has its time, and only an entry that was read from the store after it ends it, or one of another address or lifetime. The time of reading is that of the batch, less its age; for a daemon's own read, the time of the call.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -5,19 +5,24 @@
  *
  * @property coldUntilMillis the steady time from which it is warm
  * @property usableUntilMillis the steady time at which it expires, or null while its entry is stored
- * @property isLost whether it was found to be no longer at its address
+ * @property lostAtMillis the steady time at which it was found to be no longer at its address, or null
  */
 public data class BackendServerState(
     val entry: BackendServerEntry,
     val coldUntilMillis: Long,
     val usableUntilMillis: Long? = null,
-    val isLost: Boolean = false,
+    val lostAtMillis: Long? = null,
 ) {
     /** Whether it said that it leaves, and [newer] is an entry of the same lifetime, which ends with that. */
     internal fun hasLeft(newer: BackendServerEntry): Boolean =
         entry.leaving && entry.startedAtMillis > 0 && entry.startedAtMillis == newer.startedAtMillis
 
+    /** When it was lost, or null if [newer] was read since, at [readAtMillis], or has another address or lifetime. */
+    internal fun lostAtMillis(newer: BackendServerEntry, readAtMillis: Long): Long? = lostAtMillis?.takeIf {
+        readAtMillis < it && entry.address == newer.address && entry.startedAtMillis == newer.startedAtMillis
+    }
+
     /** Whether the server may receive requests at [nowMillis], unless its data centre is taken out of service. */
     internal fun isUsable(nowMillis: Long): Boolean =
-        !entry.leaving && !isLost && (usableUntilMillis == null || nowMillis < usableUntilMillis)
+        !entry.leaving && lostAtMillis == null && (usableUntilMillis == null || nowMillis < usableUntilMillis)
 }
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -8,12 +8,17 @@
     private val servers = LinkedHashMap<String, BackendServerState>()
     private val takenOut = HashSet<String>()
 
-    /** Adds or replaces a server's entry, read at [nowMillis]. A server that said that it leaves stays leaving. */
-    public fun put(entry: BackendServerEntry, nowMillis: Long) {
-        val hasLeft = servers[entry.id]?.hasLeft(entry) ?: false
+    /**
+     * Adds or replaces a server's entry, which was read from the store at [readAtMillis]. A server that said that it
+     * leaves stays leaving; one that was found lost stays lost unless the entry was read after that.
+     */
+    public fun put(entry: BackendServerEntry, nowMillis: Long, readAtMillis: Long = nowMillis) {
+        val previous = servers[entry.id]
+        val hasLeft = previous?.hasLeft(entry) ?: false
         servers[entry.id] = BackendServerState(
             entry = entry.copy(leaving = entry.leaving || hasLeft),
             coldUntilMillis = nowMillis + entry.coldMillis,
+            lostAtMillis = previous?.lostAtMillis(newer = entry, readAtMillis = readAtMillis),
         )
     }
 
@@ -35,9 +40,12 @@
         return state != null
     }
 
-    /** Takes [id] out of use until its entry is written again: another server responds at its address, or none. */
-    public fun markLost(id: String) {
-        servers.computeIfPresent(id) { _, state -> state.copy(isLost = true) }
+    /**
+     * Takes [id] out of use, since another server or none responds at its address at [nowMillis], until an entry of it
+     * is read after that, or one of another address or lifetime.
+     */
+    public fun markLost(id: String, nowMillis: Long) {
+        servers.computeIfPresent(id) { _, state -> state.copy(lostAtMillis = nowMillis) }
     }
 
     /** The server with [id] if it may receive requests at [nowMillis], else null. */
--- a/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
@@ -26,13 +26,39 @@
     fun `a server that is lost is not usable until its entry is written again`() {
         val testSubject = fleet()
 
-        testSubject.markLost("i-1")
+        testSubject.markLost("i-1", nowMillis = 1_000)
 
         testSubject.usable("i-1", nowMillis = 1_000) shouldBe null
         testSubject.put(entry, nowMillis = 2_000)
         testSubject.usable("i-1", nowMillis = 2_000)?.entry shouldBe entry
     }
 
+    // Guards against a daemon that passes on late what it read before.
+    @Test
+    fun `a server that is lost stays so when an entry follows that was read before`() {
+        val testSubject = fleet()
+        testSubject.markLost("i-1", nowMillis = 2_000)
+
+        testSubject.put(entry, nowMillis = 2_500, readAtMillis = 1_999)
+
+        testSubject.usable("i-1", nowMillis = 2_500) shouldBe null
+        testSubject.put(entry, nowMillis = 3_000, readAtMillis = 2_000)
+        testSubject.usable("i-1", nowMillis = 3_000)?.entry shouldBe entry
+    }
+
+    @Test
+    fun `a server that is lost is usable at another address and in another lifetime, whenever that was read`() {
+        val others = listOf(entry.copy(address = "10.1.0.2:80"), entry.copy(startedAtMillis = 2))
+        others.forEach { other ->
+            val testSubject = fleet()
+            testSubject.markLost("i-1", nowMillis = 2_000)
+
+            testSubject.put(other, nowMillis = 2_500, readAtMillis = 1_999)
+
+            testSubject.usable("i-1", nowMillis = 2_500)?.entry shouldBe other
+        }
+    }
+
     // Guards against a heartbeat that the store carries out late, after the server said that it leaves.
     @Test
     fun `a server that said that it leaves is not usable, whatever entry of the same lifetime follows`() {
--- a/core/src/test/kotlin/org/bulrushtack/core/testing/FakeScaledFleet.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/testing/FakeScaledFleet.kt
@@ -122,7 +122,7 @@
         val cancelled = coming.takeLast(minOf(coming.size, maxOf(0, -missing)))
         booting.removeAll(cancelled)
         usable.shuffled(random).take(maxOf(0, -missing - cancelled.size)).forEach {
-            fleet.markLost(it.entry.id)
+            fleet.markLost(it.entry.id, nowMillis.toLong())
             engines.getValue(it.entry.id).isLeaving = true
         }
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/SendAttempt.kt
@@ -187,7 +187,9 @@
         crashObserver.onFinished(if (isOwnLoss) result.copy(isBrokenOff = false) else result)
         val isMisdirected = result.reason == BackendSend.MISDIRECTED
         val isVersionRefused = isMisdirected && context.caller.requiresVersion
-        if (isMisdirected && !isVersionRefused) dependencies.state.fleet.markLost(result.serverId)
+        if (isMisdirected && !isVersionRefused) {
+            dependencies.state.fleet.markLost(result.serverId, dependencies.thread.nowMillis())
+        }
         progress.stop()
         reservations?.release()
         val isServersOutcome = attributeToServer && !isVersionRefused && !isOwnLoss
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/ServerLiveness.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/ServerLiveness.kt
@@ -68,7 +68,7 @@
 
     /** A silent server may be in use again before its entry is written; one at whose address nothing listens is not. */
     private fun onRefused(server: ObservedServer, known: KnownServer): Liveness = if (isConnected()) {
-        if (!isReplaced(server)) fleet.markLost(server.lifetime.serverId)
+        if (!isReplaced(server)) fleet.markLost(server.lifetime.serverId, thread.nowMillis())
         end(server, known, "nothing listens at its address")
     } else {
         Liveness.UNKNOWN
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
@@ -16,7 +16,7 @@
 
     fun putServer(entry: BackendServerEntry, context: UpdateContext) {
         val previous = entries.put(entry.id, entry)
-        fleet.put(entry = entry, nowMillis = context.nowMillis)
+        fleet.put(entry = entry, nowMillis = context.nowMillis, readAtMillis = context.readAtMillis)
         val turnedCold = entry.coldMillis > 0 && (previous == null || previous.coldMillis == 0L)
         val message = when {
             previous == null || previous.startedAtMillis != entry.startedAtMillis -> "A backend server was added."
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -38,7 +38,12 @@
         }
         if (batch.endOffset >= local.replica.endOffset) {
             val dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis)
-            val context = UpdateContext(nowMillis = nowMillis, dropDelayMillis = dropDelayMillis, source = source)
+            val context = UpdateContext(
+                nowMillis = nowMillis,
+                readAtMillis = nowMillis - ageMillis,
+                dropDelayMillis = dropDelayMillis,
+                source = source,
+            )
             local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
                 // Whatever a record does to the code that applies it, the others of the batch are not read again.
                 runCatching { apply(topic, record, context) }.onFailure { logFailure(record, it) }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
@@ -3,11 +3,13 @@
 /**
  * How a store update reached this daemon.
  *
+ * @property readAtMillis when the update was read from the store, by whichever daemon, or a little earlier
  * @property dropDelayMillis how long a server whose entry was dropped still counts as present
  * @property source the store, or the name of the daemon that passed on the record
  */
 internal data class UpdateContext(
     val nowMillis: Long,
+    val readAtMillis: Long,
     val dropDelayMillis: Long,
     val source: String,
 )
--- a/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/ServerLivenessTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/ServerLivenessTest.kt
@@ -48,7 +48,7 @@
             coldMillis = 0,
             startedAtMillis = startedAtMillis,
         ),
-        nowMillis = 0,
+        nowMillis = time.nowMillis(),
     )
 
     /** Asks until the result is known, at most [times] times. */
