--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -139,7 +139,7 @@
     private fun startOverdue(nowMillis: Long) = polls
         .filter { (topic, poll) ->
             val isDue = overdueMillis(topic, poll, nowMillis) >= if (takesTurns) -PASSING_ON_MILLIS else 0
-            isDue && nowMillis - poll.sentAtMillis >= PAUSE_MILLIS
+            isDue && nowMillis - poll.sentAtMillis >= SHORTEST_PAUSE_MILLIS
         }
         .forEach { (topic, poll) ->
             poll.replacesReader = !isReader
@@ -179,7 +179,7 @@
 private const val SOURCE = "store"
 
 /** The shortest time between two reads of a topic: the tick of the daemon. */
-private const val PAUSE_MILLIS = 100L
+private const val SHORTEST_PAUSE_MILLIS = 100L
 
 /** A few times what a read takes; a slow store may take longer, and the next sync passes on what it returns. */
 private const val ANNOUNCEMENT_DELAY_MILLIS = 25L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/LapsedEntryPolicyTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/LapsedEntryPolicyTest.kt
@@ -2,7 +2,6 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.shouldBe
-import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.store.RecordBatch
 import org.bulrushtack.core.store.StoreRecord
 import org.bulrushtack.core.store.StoreTopic
@@ -27,7 +26,7 @@
     fun `a server that left while the daemon was out of contact is not used after its return`() {
         daemon.hearsFreshRecords(CALM_MILLIS)
 
-        daemon.isFrozen(ABSENCE_MILLIS)
+        daemon.freezes(ABSENCE_MILLIS)
         daemon.getsRemoval()
 
         daemon.usesServer shouldBe false
@@ -140,7 +139,7 @@
         fun hearsNobody(millis: Int) = everySync(millis) {}
 
         /** As [hearsNobody], but the daemon itself does nothing either. */
-        fun isFrozen(millis: Int) = time.jump(millis.toLong())
+        fun freezes(millis: Int) = time.jump(millis.toLong())
 
         fun getsRemoval(hearsOthers: Boolean = true) {
             if (hearsOthers) hear()
@@ -163,7 +162,7 @@
     private fun decode(topic: StoreTopic, record: StoreRecord): StoreUpdate = when {
         topic != StoreTopic.BACKEND_SERVERS -> StoreUpdate.Irrelevant
         record.value == null -> StoreUpdate.ServerRemoved(record.key)
-        else -> StoreUpdate.ServerUpdated(ENTRY)
+        else -> StoreUpdate.ServerUpdated(FakeDaemon.serverEntry(record.key))
     }
 
     private companion object {
@@ -180,16 +179,6 @@
 
         /** Entries can lapse in outages of more than two heartbeat intervals. */
         const val SHORTEST_OUTAGE_MILLIS = 2_800
-        val ENTRY = BackendServerEntry(
-            id = SERVER,
-            service = "plain",
-            address = "10.1.0.1:80",
-            dataCentre = "a",
-            slots = 1,
-            leaving = false,
-            coldMillis = 0,
-            startedAtMillis = 1,
-        )
         val REGISTERED = batch(offset = 0, value = byteArrayOf(1))
         val REMOVED = batch(offset = 1, value = null)
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeDaemon.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeDaemon.kt
@@ -3,6 +3,7 @@
 import org.bulrushtack.core.daemon.DaemonInfo
 import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.daemon.StartupGracePeriod
+import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.quarantine.PromptQuarantine
 import org.bulrushtack.core.store.RecordStore
 import org.bulrushtack.core.store.StoreRecordDecoder
@@ -29,6 +30,18 @@
         leaving = false,
     )
 
+    /** The entry of the plain backend server [id]. */
+    fun serverEntry(id: String) = BackendServerEntry(
+        id = id,
+        service = "plain",
+        address = "10.1.0.1:80",
+        dataCentre = "a",
+        slots = 1,
+        leaving = false,
+        coldMillis = 0,
+        startedAtMillis = 1,
+    )
+
     /** The table of daemon [number], which knows no other one. */
     fun table(number: Int) = DaemonTable(info(number))
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
@@ -1,6 +1,5 @@
 package org.bulrushtack.forward.testing
 
-import org.bulrushtack.core.fleet.BackendServerEntry
 import org.bulrushtack.core.store.OutageReadSchedule
 import org.bulrushtack.core.store.ReadTurn
 import org.bulrushtack.core.store.RecordBatch
@@ -122,18 +121,7 @@
     private fun decode(topic: StoreTopic, record: StoreRecord): StoreUpdate = when {
         topic != StoreTopic.BACKEND_SERVERS -> StoreUpdate.Irrelevant
         record.value == null -> StoreUpdate.ServerRemoved(record.key)
-        else -> StoreUpdate.ServerUpdated(
-            BackendServerEntry(
-                id = record.key,
-                service = "plain",
-                address = "10.1.0.1:80",
-                dataCentre = "a",
-                slots = 1,
-                leaving = false,
-                coldMillis = 0,
-                startedAtMillis = 1,
-            ),
-        )
+        else -> StoreUpdate.ServerUpdated(FakeDaemon.serverEntry(record.key))
     }
 
     /** A sync takes [roundTripMillis]; the daemons find [measuredMillis] on their clocks. */
