--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -162,7 +162,7 @@
             val overdueFromMillis = if (outageLog.takesTurns) -PASSING_ON_MILLIS else 0
             val isDue = overdueMillis(topic, poll, nowMillis) >= overdueFromMillis ||
                 (role.isReader && poll.isDue(nowMillis))
-            isDue && nowMillis - poll.sentAtMillis >= PAUSE_MILLIS
+            isDue && nowMillis - poll.sentAtMillis >= SHORTEST_PAUSE_MILLIS
         }
         .forEach { (topic, poll) ->
             poll.replacesReader = !role.isReader
@@ -187,7 +187,7 @@
 private const val SOURCE = "store"
 
 /** The shortest time between two reads of a topic: the tick of the daemon. */
-private const val PAUSE_MILLIS = 100L
+private const val SHORTEST_PAUSE_MILLIS = 100L
 
 private const val NEVER_MILLIS = Long.MIN_VALUE / 2
 
