A report that passed through a daemon of an older build no longer clears what a daemon says of the store

What callers would have seen in an upgrade: a daemon of an older build passes on the description of one that can't read the store without the field, with the same revision. The later of two reports of one revision counted, so that the reader changed back and forth with each sync. Found by reading; no run of two builds showed it.

Change: of two reports of the same revision, the one that says that the store can't be read counts.

StoreReaderTest, red before and green after; all 239 tests of core green with `mvn -B -o verify -pl core -am`:

mvn -B -o test -pl core -am -Dtest=StoreReaderTest -Dsurefire.failIfNoSpecifiedTests=false

--- a/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonObservation.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/daemon/DaemonObservation.kt
@@ -17,10 +17,14 @@
      */
     internal fun with(other: DaemonObservation): DaemonObservation {
         val isLater = other.lastSeenAtMillis > lastSeenAtMillis
-        val isChange = other.daemon.incarnation == daemon.incarnation && other.daemon.revision != daemon.revision
+        val isSameIncarnation = other.daemon.incarnation == daemon.incarnation
+        val isChange = isSameIncarnation && other.daemon.revision != daemon.revision
         val replaces = if (isChange) other.daemon.revision > daemon.revision else isLater
+        val latest = if (replaces) other.daemon else daemon
+        // A report that came through a daemon of an older build lacks what it doesn't know of the same revision.
+        val isUnreadable = isSameIncarnation && !isChange && (daemon.storeUnreadable || other.daemon.storeUnreadable)
         return DaemonObservation(
-            daemon = if (replaces) other.daemon else daemon,
+            daemon = if (isUnreadable) latest.copy(storeUnreadable = true) else latest,
             lastSeenAtMillis = maxOf(lastSeenAtMillis, other.lastSeenAtMillis),
             lastContactAtMillis = other.lastContactAtMillis ?: lastContactAtMillis,
         )
--- a/core/src/test/kotlin/org/bulrushtack/core/daemon/StoreReaderTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/daemon/StoreReaderTest.kt
@@ -86,4 +86,19 @@
         testSubject.observe(daemon(1), atMillis = 3, direct = false) shouldBe false
         testSubject.observe(daemon(1).copy(revision = 2), atMillis = 4, direct = true) shouldBe true
     }
+
+    // Guards against readers that change with each report by a daemon of an older build, which leaves the field out.
+    @Test
+    fun `a report that lost what a daemon says of the store doesn't count as a change`() {
+        val unreadable = daemon(1, storeUnreadable = true).copy(revision = 1)
+        val lost = unreadable.copy(storeUnreadable = false)
+        val testSubject = table(unreadable, daemon(2))
+
+        testSubject.observe(lost, atMillis = 10, direct = false) shouldBe false
+        testSubject.reader() shouldBe "vm-2"
+
+        val informedLater = table(lost, daemon(2))
+        informedLater.observe(unreadable, atMillis = 10, direct = true) shouldBe true
+        informedLater.reader() shouldBe "vm-2"
+    }
 }
