--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
@@ -9,6 +9,7 @@
 import io.kotest.matchers.shouldBe
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import org.bulrushtack.core.daemon.storeReader
 import org.bulrushtack.core.exchange.RetryAfterPolicy
 import org.bulrushtack.core.fleet.FleetRegion
 import org.bulrushtack.core.placement.PlacementLedger
@@ -56,14 +57,7 @@
         val connections = PeerConnections(group)
         val received = CountDownLatch(1)
         val peer = peer(group, received)
-        val testSubject = PeerSync(
-            daemons = daemons,
-            replica = FakeDaemon.replica(daemons, FakeRecordStore(), time),
-            broker = PlacementBroker(scheduler, time.thread, ServicePressures(ForwardMetrics(), log)),
-            connections = connections,
-            thread = time.thread,
-            log = log,
-        )
+        val testSubject = testSubject(connections)
 
         val isReceived = (1..SYNCS).any {
             val sync = Context.current().withCancellation()
@@ -79,6 +73,39 @@
         group.shutdownGracefully()
     }
 
+    // Guards against a substitute that learns only at its next tick that it is to read the store.
+    @Test
+    fun `news of who can read the store are looked at as soon as the call that brought them is over`() {
+        val group = EventLoops.create(threads = 1)
+        val connections = PeerConnections(group)
+        val testSubject = testSubject(connections)
+        var news = 0
+        testSubject.onReadability = { news += 1 }
+        val unreadable = FakeDaemon.info(3).copy(storeUnreadable = true)
+        val request = SyncRequest.newBuilder().setSender(DaemonMessages.toWire(unreadable, ageMillis = 0)).build()
+
+        testSubject.handle(request)
+        news shouldBe 0
+        time.runPendingTasks()
+        news shouldBe 1
+        daemons.storeReader(time.nowMillis())?.name shouldBe daemons.self.name
+
+        testSubject.handle(request)
+        time.runPendingTasks()
+        news shouldBe 1
+        connections.close()
+        group.shutdownGracefully()
+    }
+
+    private fun testSubject(connections: PeerConnections) = PeerSync(
+        daemons = daemons,
+        replica = FakeDaemon.replica(daemons, FakeRecordStore(), time),
+        broker = PlacementBroker(scheduler, time.thread, ServicePressures(ForwardMetrics(), log)),
+        connections = connections,
+        thread = time.thread,
+        log = log,
+    )
+
     private fun peer(group: EventLoopGroup, received: CountDownLatch): Server {
         val handler = ServerCalls.asyncUnaryCall<SyncRequest, SyncReply> { _, _ -> received.countDown() }
         val service = ServerServiceDefinition.builder(CoordinationMethods.SERVICE_NAME)
