A leaving server is not freed by an entry of its former run

What callers would see: a request reaches a server that said it leaves, after a delayed write of its run before got into the store behind its word.

Cause: any other start counted as another lifetime. Change: once a server said that it leaves, an entry of an earlier start is left out.

FleetRegionTest: the new test red before (the server was usable), 13 of 13 green after. mvn -B -o -q test -pl core -am -Dtest=FleetRegionTest

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -17,6 +17,10 @@
     internal fun hasLeft(newer: BackendServerEntry): Boolean =
         entry.leaving && entry.startedAtMillis > 0 && entry.startedAtMillis == newer.startedAtMillis
 
+    /** Whether it said that it leaves, and [late] is an entry of an earlier lifetime that the store carried out late. */
+    internal fun isAfter(late: BackendServerEntry): Boolean =
+        entry.leaving && late.startedAtMillis in 1 until entry.startedAtMillis
+
     /** When it was lost, or null if [newer] was read since, at [readAtMillis], or has another address or lifetime. */
     internal fun lostAtMillis(newer: BackendServerEntry, readAtMillis: Long): Long? = lostAtMillis?.takeIf {
         readAtMillis < it && entry.address == newer.address && entry.startedAtMillis == newer.startedAtMillis
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -10,10 +10,12 @@
 
     /**
      * Adds or replaces a server's entry, which was read from the store at [readAtMillis]. A server that said that it
-     * leaves stays leaving; one that was found lost stays lost unless the entry was read after that.
+     * leaves stays leaving until a later lifetime; one that was found lost stays lost unless the entry was read after
+     * that.
      */
     public fun put(entry: BackendServerEntry, nowMillis: Long, readAtMillis: Long = nowMillis) {
         val previous = servers[entry.id]
+        if (previous?.isAfter(entry) == true) return
         val hasLeft = previous?.hasLeft(entry) ?: false
         servers[entry.id] = BackendServerState(
             entry = entry.copy(leaving = entry.leaving || hasLeft),
--- a/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/fleet/FleetRegionTest.kt
@@ -103,6 +103,20 @@
         testSubject.usable("i-1", nowMillis = 3_000)?.entry?.startedAtMillis shouldBe 2
     }
 
+    // Guards against a heartbeat of a former run that the store carries out after the next run has left.
+    @Test
+    fun `a server that said that it leaves is not usable after an entry of an earlier lifetime`() {
+        val testSubject = fleet()
+        testSubject.put(entry.copy(startedAtMillis = 2), nowMillis = 2_000)
+        testSubject.markLeaving(testSubject.lifetime("i-1"))
+
+        testSubject.put(entry, nowMillis = 3_000)
+        testSubject.usable("i-1", nowMillis = 3_000) shouldBe null
+        testSubject.put(entry.copy(startedAtMillis = 2), nowMillis = 4_000)
+
+        testSubject.usable("i-1", nowMillis = 4_000) shouldBe null
+    }
+
     @Test
     fun `a server whose start is not known is usable when its entry no longer says that it leaves`() {
         val testSubject = FleetRegion()
