A reader far down the rank gets no sync of every daemon

Change: the reader is among the sync targets if it is one of the first twelve in rank, which get the records of a substitute at once. Beyond that daemons get them by the leaders, as before.

SyncTargetsTest: the new test red before (three targets where two are due), 4 of 4 green after, with PeerSyncTest. mvn -B -o -q test -pl forward -am -Dtest='SyncTargetsTest,PeerSyncTest'

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/SyncTargets.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/SyncTargets.kt
@@ -18,9 +18,15 @@
     /** The leader and the next daemon in rank, which get every daemon's state and pass on the records. */
     fun leaders(nowMillis: Long): List<DaemonInfo> = daemons.ranked(nowMillis).take(SYNCED_LEADERS)
 
-    /** The daemons that have the freshest records: the leaders, and the one that reads the store for all. */
-    fun sources(nowMillis: Long): List<DaemonInfo> =
-        (leaders(nowMillis) + listOfNotNull(daemons.storeReader(nowMillis))).distinctBy { it.name }
+    /**
+     * The daemons that have the freshest records: the leaders, and the one that reads the store for all. In an outage
+     * the reader changes with each failed turn; one that is far down the rank adds no connection at every daemon.
+     */
+    fun sources(nowMillis: Long): List<DaemonInfo> {
+        val ranked = daemons.ranked(nowMillis)
+        val reader = daemons.storeReader(nowMillis)
+        return ranked.take(SYNCED_LEADERS) + ranked.take(RECEIVERS).drop(SYNCED_LEADERS).filter { it == reader }
+    }
 
     /**
      * The addresses of the daemons with which a sync is due at [nowMillis]: the leaders, the reader, some without a
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/SyncTargetsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/SyncTargetsTest.kt
@@ -11,10 +11,15 @@
 class SyncTargetsTest : AnnotationSpec() {
     private val time = FakeTime()
 
-    /** The numbers of the daemons that daemon [self] of seven chooses while those in [unreadable] can't read. */
-    private fun chosen(self: Int, unreadable: Set<Int>, choose: SyncTargets.() -> Collection<String>): List<Int> {
+    /** The numbers of the daemons that daemon [self] of [count] chooses while those in [unreadable] can't read. */
+    private fun chosen(
+        self: Int,
+        unreadable: Set<Int>,
+        count: Int = DAEMONS,
+        choose: SyncTargets.() -> Collection<String>,
+    ): List<Int> {
         val daemons = FakeDaemon.table(self)
-        (1..DAEMONS).forEach {
+        (1..count).forEach {
             val info = FakeDaemon.info(it).copy(storeUnreadable = it in unreadable)
             daemons.observe(info, atMillis = 0, direct = true)
         }
@@ -48,9 +53,17 @@
         synced(self = 7, unreadable = (1..DAEMONS).toSet()) shouldBe listOf(1, 2)
     }
 
+    // Guards against an outage in which every daemon connects to one after the other down the rank.
+    @Test
+    fun `a reader after many daemons that can't read the store gets no sync of every daemon`() {
+        chosen(self = MANY, unreadable = (1..11).toSet(), count = MANY) { due(0) } shouldBe listOf(1, 2, 12)
+        chosen(self = MANY, unreadable = (1..12).toSet(), count = MANY) { due(0) } shouldBe listOf(1, 2)
+    }
+
     private fun synced(self: Int, unreadable: Set<Int>) = chosen(self, unreadable) { due(0) }
 
     private companion object {
         const val DAEMONS = 7
+        const val MANY = 30
     }
 }
