Log who reads the store and who can't

Three lines, each on a change, say that a daemon tells the others whether it can read, and that it begins or ends to read in place of the first in rank, with the age of what it knows.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -45,6 +45,7 @@
     fun tick() {
         val nowMillis = thread.nowMillis()
         role.update(nowMillis)
+        outageLog.recordSubstitute(role.isSubstitute && role.polls)
         polls.forEach { (topic, poll) ->
             when {
                 !poll.isStarted -> startPoll(topic, poll, nowMillis)
@@ -149,7 +150,10 @@
 
     /** Lets [judge] decide whether this daemon can read the store, and tells the others of a change. */
     private fun review(judge: StoreReadability.() -> Unit) {
-        if (role.review(thread.nowMillis(), judge)) onReadability()
+        if (role.review(thread.nowMillis(), judge)) {
+            outageLog.recordReadability(role.isUnreadable)
+            onReadability()
+        }
     }
 
     /**
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
@@ -5,12 +5,16 @@
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
 
-/** Logs once when the store gets unavailable to this daemon and when it is back, and when the daemon takes turns. */
+/**
+ * Logs once when the store gets unavailable to this daemon and when it is back, and when the daemon takes turns or reads
+ * in place of the first one in rank.
+ */
 internal class StoreOutageLog(
     private val replica: StoreReplica,
     private val log: EventLog,
 ) {
     private var unavailable = false
+    private var isSubstitute = false
 
     /** Whether this daemon takes its turns. */
     var takesTurns = false
@@ -28,6 +32,28 @@
         takesTurns = isTurn
     }
 
+    /** Records whether this daemon reads the store for all in place of the first one in rank. */
+    fun recordSubstitute(isSubstitute: Boolean) {
+        if (isSubstitute != this.isSubstitute) {
+            log.info(
+                if (isSubstitute) {
+                    "This daemon reads the platform's store in place of the first one in rank."
+                } else {
+                    "This daemon no longer reads the platform's store in place of another one."
+                },
+                LogField("age_millis", replica.ageMillis(StoreTopic.OPERATOR)),
+            )
+        }
+        this.isSubstitute = isSubstitute
+    }
+
+    /** Records that this daemon tells the others whether it can read the store. */
+    fun recordReadability(isUnreadable: Boolean) = log.info(
+        "This daemon tells the others whether it can read the platform's store.",
+        LogField("unreadable", isUnreadable),
+        LogField("age_millis", replica.ageMillis(StoreTopic.OPERATOR)),
+    )
+
     /** Records that a poll of [topic] failed. */
     fun recordFailure(topic: StoreTopic, failure: PlatformFailure) {
         if (!unavailable) {
