Test that news during a sync is followed by exactly one more

passOn and tellReadability mark a sync that is under way for repetition; no test covered that. The tests announce news three times in one turn of the event loop while a peer holds its reply, and expect one more sync after it.

--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
@@ -5,10 +5,14 @@
 import io.grpc.ServerServiceDefinition
 import io.grpc.netty.NettyServerBuilder
 import io.grpc.stub.ServerCalls
+import io.grpc.stub.StreamObserver
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.nulls.shouldBeNull
+import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import org.bulrushtack.core.daemon.DaemonTable
 import org.bulrushtack.core.daemon.storeReader
 import org.bulrushtack.core.exchange.RetryAfterPolicy
 import org.bulrushtack.core.fleet.FleetRegion
@@ -17,6 +21,7 @@
 import org.bulrushtack.core.placement.ServerHealth
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.ForwardMetrics
+import org.bulrushtack.forward.ForwardThread
 import org.bulrushtack.forward.log.EventLogs
 import org.bulrushtack.forward.placement.PlacementBroker
 import org.bulrushtack.forward.placement.ServicePressures
@@ -31,6 +36,7 @@
 import java.net.InetAddress
 import java.net.InetSocketAddress
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -56,7 +62,7 @@
         val group = EventLoops.create(threads = 1)
         val connections = PeerConnections(group)
         val received = CountDownLatch(1)
-        val peer = peer(group, received)
+        val peer = peer(group) { received.countDown() }
         val testSubject = testSubject(connections)
 
         val isReceived = (1..SYNCS).any {
@@ -97,17 +103,75 @@
         group.shutdownGracefully()
     }
 
-    private fun testSubject(connections: PeerConnections) = PeerSync(
+    // Guards against news that a peer gets only at the next tick, and against one more sync for each piece of news.
+    @Test
+    fun `records that arrive while a sync is under way are passed on by exactly one more sync`() {
+        checkFollowUp(news = { passOn(hasRecords = true) })
+    }
+
+    @Test
+    fun `a change of readability while a sync is under way is told by exactly one more sync`() {
+        checkFollowUp(news = { tellReadability() })
+    }
+
+    /** Announces [news] several times while a peer holds the reply to a sync, and expects a single sync after that. */
+    private fun checkFollowUp(news: PeerSync.() -> Unit) = withHeldCalls { testSubject, thread, calls ->
+        thread.execute { repeat(PIECES_OF_NEWS) { testSubject.news() } }
+
+        calls.next().shouldNotBeNull().reply()
+        calls.next().shouldNotBeNull().reply()
+        calls.next().shouldBeNull()
+    }
+
+    /** Runs [test] with a connected peer that puts each sync into a queue for the test to reply to. */
+    private fun withHeldCalls(
+        test: (PeerSync, ForwardThread, LinkedBlockingQueue<StreamObserver<SyncReply>>) -> Unit,
+    ) {
+        val group = EventLoops.create(threads = 1)
+        val connections = PeerConnections(group)
+        val calls = LinkedBlockingQueue<StreamObserver<SyncReply>>()
+        val peer = peer(group) { calls.add(it) }
+        try {
+            val address = "127.0.0.1:${peer.port}"
+            // The first call of a process loads the classes of gRPC.
+            val first = connections.sync(address, SyncRequest.getDefaultInstance(), CONNECT_MILLIS)
+            calls.poll(CONNECT_MILLIS, TimeUnit.MILLISECONDS).shouldNotBeNull().reply()
+            first.join()
+            val thread = ForwardThread(loop = group.next(), clock = time, onError = { throw it })
+            val table = FakeDaemon.table(1)
+            table.observe(FakeDaemon.info(2).copy(peerAddress = address), time.nowMillis(), direct = true)
+            test(testSubject(connections, thread, table), thread, calls)
+        } finally {
+            connections.close()
+            peer.shutdownNow()
+            group.shutdownGracefully()
+        }
+    }
+
+    private fun LinkedBlockingQueue<StreamObserver<SyncReply>>.next(): StreamObserver<SyncReply>? =
+        poll(SYNC_INTERVAL_MILLIS, TimeUnit.MILLISECONDS)
+
+    private fun StreamObserver<SyncReply>.reply() {
+        onNext(SyncReply.getDefaultInstance())
+        onCompleted()
+    }
+
+    private fun testSubject(
+        connections: PeerConnections,
+        thread: ForwardThread = time.thread,
+        daemons: DaemonTable = this.daemons,
+    ) = PeerSync(
         daemons = daemons,
         replica = FakeDaemon.replica(daemons, FakeRecordStore(), time),
-        broker = PlacementBroker(scheduler, time.thread, ServicePressures(ForwardMetrics(), log)),
+        broker = PlacementBroker(scheduler, thread, ServicePressures(ForwardMetrics(), log)),
         connections = connections,
-        thread = time.thread,
+        thread = thread,
         log = log,
     )
 
-    private fun peer(group: EventLoopGroup, received: CountDownLatch): Server {
-        val handler = ServerCalls.asyncUnaryCall<SyncRequest, SyncReply> { _, _ -> received.countDown() }
+    /** A daemon that leaves the reply to each sync to [onSync]. */
+    private fun peer(group: EventLoopGroup, onSync: (StreamObserver<SyncReply>) -> Unit): Server {
+        val handler = ServerCalls.asyncUnaryCall<SyncRequest, SyncReply> { _, reply -> onSync(reply) }
         val service = ServerServiceDefinition.builder(CoordinationMethods.SERVICE_NAME)
         return NettyServerBuilder.forAddress(InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
             .bossEventLoopGroup(group)
@@ -133,5 +197,7 @@
 
         /** The syncs of five seconds, far above a call on loopback. */
         const val SYNCS = 12
+        const val PIECES_OF_NEWS = 3
+        const val CONNECT_MILLIS = 5_000L
     }
 }
