Send news after a sync that failed, too

Callers: none seen. A peer for which records or a change of readability arrived while a sync with it was under way didn't get them if that sync failed, and was then skipped as unresponsive until it made contact or the time was over. Cause: the mark for one more sync was removed with the failure, although it stands for news that the call lacked. Change: one more sync follows a failure as well. It has no mark of its own, so a dead peer gets one more call, not a series; only further news leads to another. A silent connection is followed by its one sync, as before.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -112,13 +112,12 @@
             if (pulling == address) pulling = null
             val isAgain = again.remove(address)
             when (failure) {
-                null -> {
-                    reply?.let { onReply(address, it, nowMillis) }
-                    if (isAgain && address !in inFlight) startSync(address, thread.nowMillis())
-                }
+                null -> reply?.let { onReply(address, it, nowMillis) }
                 is SilentConnectionException -> syncAgain(address, failure)
                 else -> observer.recordFailure(address, failure)
             }
+            // After a failure as well: only further news leads to more than this one call.
+            if (isAgain && address !in inFlight) startSync(address, thread.nowMillis())
         }
     }
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
@@ -3,6 +3,7 @@
 import io.grpc.Context
 import io.grpc.Server
 import io.grpc.ServerServiceDefinition
+import io.grpc.Status
 import io.grpc.netty.NettyServerBuilder
 import io.grpc.stub.ServerCalls
 import io.grpc.stub.StreamObserver
@@ -114,6 +115,18 @@
         checkFollowUp(news = { tellReadability() })
     }
 
+    // Guards against records that a peer misses since an earlier call failed, and against calls without end.
+    @Test
+    fun `records that arrive while a sync fails are passed on by exactly one more sync, which may fail too`() {
+        withHeldCalls { testSubject, thread, calls ->
+            thread.execute { repeat(PIECES_OF_NEWS) { testSubject.passOn(hasRecords = true) } }
+
+            calls.next().shouldNotBeNull().fail()
+            calls.next().shouldNotBeNull().fail()
+            calls.next().shouldBeNull()
+        }
+    }
+
     /** Announces [news] several times while a peer holds the reply to a sync, and expects a single sync after that. */
     private fun checkFollowUp(news: PeerSync.() -> Unit) = withHeldCalls { testSubject, thread, calls ->
         thread.execute { repeat(PIECES_OF_NEWS) { testSubject.news() } }
@@ -156,6 +169,8 @@
         onCompleted()
     }
 
+    private fun StreamObserver<SyncReply>.fail() = onError(Status.UNAVAILABLE.asRuntimeException())
+
     private fun testSubject(
         connections: PeerConnections,
         thread: ForwardThread = time.thread,
