Go on taking over from daemons that get no reply from the store

Callers saw a change take longer than 2 s to reach every daemon when the first three in rank got no reply. Cause: the takeover stopped once any topic was overdue. Each silent pair costs 0.4 s, and the turns that followed began with the silent daemons. Change: the takeover stops only if at least four daemons can't read the store, that is, in a likely outage.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/ReaderRole.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/ReaderRole.kt
@@ -58,14 +58,12 @@
         if (reader != previous || !isCandidate) hasTried = false
     }
 
-    /**
-     * How long this daemon still waits before it takes over. Where several daemons can't read the store, it may be the
-     * store that is away.
-     */
-    fun waitMillis(nowMillis: Long): Long {
-        val isOutageLikely = daemons.storeUnreadableCount(nowMillis) >= MANY_UNREADABLE
-        return readerSinceMillis + (if (isOutageLikely) TAKE_OVER_MILLIS else 0) - nowMillis
-    }
+    /** How long this daemon still waits before it takes over, which it does at once unless the store may be away. */
+    fun waitMillis(nowMillis: Long): Long =
+        readerSinceMillis + (if (isOutageLikely(nowMillis)) TAKE_OVER_MILLIS else 0) - nowMillis
+
+    /** Whether so many daemons can't read the store that it may be away. */
+    fun isOutageLikely(nowMillis: Long): Boolean = daemons.storeUnreadableCount(nowMillis) >= MANY_UNREADABLE
 
     /** Records a try to take over. The daemon after the reader tries once. */
     fun recordTry() {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -57,11 +57,12 @@
     }
 
     /**
-     * Tries one topic at once in place of daemons that can't read the store, until the replica is overdue and all take
-     * turns.
+     * Tries one topic at once in place of daemons that can't read the store, until the replica is overdue in an outage
+     * and all take turns. The first turns may be those of daemons that get no reply.
      */
     private fun takeOver(nowMillis: Long) {
-        if (!role.mayTakeOver || overdueMillis(nowMillis) >= 0 || polls.values.any { it.inFlight }) return
+        val areTurnsEnough = overdueMillis(nowMillis) >= 0 && role.isOutageLikely(nowMillis)
+        if (!role.mayTakeOver || areTurnsEnough || polls.values.any { it.inFlight }) return
         val waitMillis = role.waitMillis(nowMillis)
         if (waitMillis > 0) {
             thread.schedule(waitMillis) { takeOver(thread.nowMillis()) }
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -163,17 +163,20 @@
     }
 
     /** Runs [disturb] at several times after calm ones, and checks all changes from then on. */
-    private fun shouldTakeOverInTime(limits: Map<Int, Int>, disturb: FakeFollowers.() -> Unit) =
-        (0 until FAULT_TIMES).forEach { time ->
-            val sizes = if (time % LARGE_FAULT_TIMES == 0) SIZES - SINGLE else listOf(SMALL)
-            forEachSystem(sizes) { system, daemons ->
-                system.advance(time * FAULT_STEP_MILLIS)
-
-                val millis = longestDelay(system, delayMillis = time % 2 * SHORT_PAUSE_MILLIS, disturb)
-
-                withClue("fault $time") { millis shouldBeAtMost limits.getValue(daemons) }
-            }
+    private fun shouldTakeOverInTime(
+        limits: Map<Int, Int>,
+        largeFaultTimes: Int = LARGE_FAULT_TIMES,
+        disturb: FakeFollowers.() -> Unit,
+    ) = (0 until FAULT_TIMES).forEach { time ->
+        val sizes = if (time % largeFaultTimes == 0) SIZES - SINGLE else listOf(SMALL)
+        forEachSystem(sizes) { system, daemons ->
+            system.advance(time * FAULT_STEP_MILLIS)
+
+            val millis = longestDelay(system, delayMillis = time % 2 * SHORT_PAUSE_MILLIS, disturb)
+
+            withClue("fault $time") { millis shouldBeAtMost limits.getValue(daemons) }
         }
+    }
 
     // Guards against daemons that learn only from the age of their replicas that the reader can't read the store.
     @Test
@@ -187,6 +190,13 @@
     fun `another daemon takes over soon from two that get no reply from the store`() =
         shouldTakeOverInTime(SILENCE_LIMITS_MILLIS) { store.isSilentTo = { it < 2 } }
 
+    // Guards against turns that begin with the silent ones while a daemon could take over from them.
+    @Test
+    fun `another daemon takes over in time from three that get no reply from the store`() =
+        shouldTakeOverInTime(mapOf(SMALL to LIMIT_MILLIS, LARGE to LIMIT_MILLIS), largeFaultTimes = 1) {
+            store.isSilentTo = { it < 3 }
+        }
+
     // Guards against a bound that depends on all daemons being of the same build.
     @Test
     fun `changes arrive in time while some daemons don't tell that they can't read the store`() =
