Let a daemon that can't read the store try again within 15 seconds

The daemons said for up to 9 minutes after an outage with 140 of them that they can't read the store. Cause: the wait of up to 4 s times the number of such daemons had no upper bound. Change: the wait ends after 5 to 15 s at the latest, at random, so that not all try at the same time.

OutageReadScheduleTest, 140 daemons that failed: red 558,880 ms (bound 15,000 ms), green with the change. mvn -B -o test -pl core -Dtest='OutageReadScheduleTest,StoreReadabilityTest': 7 tests, no failures.

--- a/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
@@ -36,14 +36,15 @@
 
     /**
      * Records at [nowMillis] that a read failed; reads that were sent together count as one try. All daemons that fail,
-     * of which there are [failing], together make about as many tries as one alone.
+     * of which there are [failing], together make about as many tries as one alone, but each makes one in 15 s at least.
      */
     public fun recordFailure(sentAtMillis: Long, nowMillis: Long, failing: Int) {
         if (sentAtMillis <= failedAtMillis) return
         failures += 1
         failedAtMillis = nowMillis
         waitsFromMillis = nowMillis
-        waitMillis = failing * backoff.delayMillis(failures + failing - 1)
+        val sharedMillis = failing * backoff.delayMillis(failures + failing - 1)
+        waitMillis = minOf(sharedMillis, LONGEST_SHARED_MILLIS - random.nextLong(SPREAD_MILLIS))
     }
 
     /**
@@ -84,5 +85,9 @@
 /** The waits of the daemon that reads for all. */
 private const val FIRST_WAIT_MILLIS = 500L
 private const val MAXIMUM_WAIT_MILLIS = 4_000L
+
+/** After an outage many daemons learn that they can read the store within this time, but not all at once. */
+private const val LONGEST_SHARED_MILLIS = 15_000L
+private const val SPREAD_MILLIS = 10_000L
 private const val JITTER_MILLIS = 200L
 private const val NEVER_MILLIS = Long.MIN_VALUE / 2
