Let a daemon that can't read the store try all topics in turn

While one topic alone couldn't be read nearly all daemons said that they can't read the store. Cause: their turns went to that overdue topic alone, so that no success of another one showed the difference. Change: a daemon that can't read the store tries the topic whose last try is longest ago, whichever it is.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -79,12 +79,14 @@
         if (poll.replacesReader) startPoll(topic, poll, nowMillis)
     }
 
-    /** Tries the topic whose last try is longest ago, so that one that can't be read delays no other one. */
+    /**
+     * Tries the topic whose last try is longest ago, so that one that can't be read delays no other one. A daemon that
+     * can't read the store tries all topics, as it may have tried only one that nobody can read.
+     */
     private fun tryNext(nowMillis: Long) {
         val overdueMillis = overdueMillis(nowMillis)
-        val retries = role.isReader || role.isUnreadable
         val next = polls.entries.sortedBy { it.value.sentAtMillis }.firstOrNull { (topic, poll) ->
-            overdueMillis(topic, poll, nowMillis) >= 0 || (retries && poll.isFailing)
+            overdueMillis(topic, poll, nowMillis) >= 0 || role.isUnreadable || (role.isReader && poll.isFailing)
         }
         if (overdueMillis < 0) outageLog.recordTurns(isTurn = false)
         if (next != null && !next.value.inFlight && role.schedule.shouldTry(overdueMillis, role.isReader, nowMillis)) {
--- a/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/store/StoreFollowerTest.kt
@@ -150,6 +150,17 @@
         system.millisUntilKnown(StoreTopic.BACKEND_SERVERS, endOffset, LATE_MILLIS) shouldBeAtMost limitMillis(daemons)
     }
 
+    // Guards against daemons whose turns go only to that topic, so that they all seem unable to read the store.
+    @Test
+    fun `daemons that tried a topic that can't be read can read the store`() =
+        forEachSystem(listOf(SMALL)) { system, _ ->
+            system.store.brokenTopic = StoreTopic.OPERATOR
+
+            system.advance(OUTAGE_MILLIS)
+
+            system.unreadable shouldBe emptyList()
+        }
+
     /** Writes changes of the operators, the first one [delayMillis] after [disturb], and returns the longest delay. */
     private fun longestDelay(system: FakeFollowers, delayMillis: Int, disturb: FakeFollowers.() -> Unit): Int {
         system.disturb()
