--- a/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
@@ -82,7 +82,7 @@
  */
 private const val INTERVAL_MILLIS = 250L
 
-/** The waits of the daemon that reads for all. */
+/** The waits of a daemon that alone can't read the store. */
 private const val FIRST_WAIT_MILLIS = 500L
 private const val MAXIMUM_WAIT_MILLIS = 4_000L
 
