--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -17,7 +17,7 @@
     internal fun hasLeft(newer: BackendServerEntry): Boolean =
         entry.leaving && entry.startedAtMillis > 0 && entry.startedAtMillis == newer.startedAtMillis
 
-    /** Whether it said that it leaves, and [late] is an entry of an earlier lifetime that the store carried out late. */
+    /** Whether it said that it leaves, and [late] is an entry of an earlier lifetime, which was stored late. */
     internal fun isAfter(late: BackendServerEntry): Boolean =
         entry.leaving && late.startedAtMillis in 1 until entry.startedAtMillis
 
--- a/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/OutageReadSchedule.kt
@@ -36,7 +36,8 @@
 
     /**
      * Records at [nowMillis] that a read failed; reads that were sent together count as one try. All daemons that fail,
-     * of which there are [failing], together make about as many tries as one alone, but each makes one in 15 s at least.
+     * of which there are [failing], together make about as many tries as one alone, but each makes one in 15 s or more
+     * often.
      */
     public fun recordFailure(sentAtMillis: Long, nowMillis: Long, failing: Int) {
         if (sentAtMillis <= failedAtMillis) return
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
@@ -6,8 +6,8 @@
 import org.bulrushtack.forward.log.LogField
 
 /**
- * Logs once when the store gets unavailable to this daemon and when it is back, and when the daemon takes turns or reads
- * in place of the first one in rank.
+ * Logs once when the store gets unavailable to this daemon and when it is back, and when the daemon takes turns or
+ * reads in place of the first one in rank.
  */
 internal class StoreOutageLog(
     private val replica: StoreReplica,
