Give positions in the store an era, so that daemons follow it when it comes back from an older copy

What callers saw: for seconds after the store had come back from an older copy, all daemons answered requests on added routes with 404 and served removed ones; a server's word that it leaves was not followed either. Cause: offsets go back and are given out again then, and replicas went by offsets alone. A batch that ended below the replica's own end was dropped and renewed its age all the same, so that every daemon took itself for fresh until the topic had grown past its old end; records at offsets that were given out again below that end were never read.

Change: the store's header names its era. A replica takes a later era only as a whole topic, drops an earlier one, and isn't fresh by what it can't merge. A store that names no era is followed if it ends before what was read. StoreReplica is split: RecordApplier, ConfigurationUpdater.

RestoredReplicaTest, RestoredTopicTest and the new cases of TopicReplicaTest, drawn returns among them, pass.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerEntry.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerEntry.kt
@@ -9,6 +9,7 @@
  * @property leaving whether it has announced its shutdown
  * @property coldMillis how long it stays cold from the moment at which the entry is read
  * @property startedAtMillis its start in Unix milliseconds; distinguishes two starts under the same id
+ * @property sequence grows with each time that the server writes its entry, from its start on
  */
 public data class BackendServerEntry(
     val id: String,
@@ -19,4 +20,5 @@
     val leaving: Boolean,
     val coldMillis: Long,
     val startedAtMillis: Long,
+    val sequence: Long = 0,
 )
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -21,6 +21,13 @@
     internal fun isAfter(late: BackendServerEntry): Boolean =
         entry.leaving && late.startedAtMillis in 1 until entry.startedAtMillis
 
+    /** Whether its entry was deleted, and [restored] was written by it no later than that entry. */
+    internal fun isGone(restored: BackendServerEntry): Boolean {
+        val isNewer = restored.startedAtMillis > entry.startedAtMillis ||
+            (restored.startedAtMillis == entry.startedAtMillis && restored.sequence > entry.sequence)
+        return usableUntilMillis != null && !isNewer
+    }
+
     /** When it was lost, or null if [newer] was read since, at [readAtMillis], or has another address or lifetime. */
     internal fun lostAtMillis(newer: BackendServerEntry, readAtMillis: Long): Long? = lostAtMillis?.takeIf {
         readAtMillis < it && entry.address == newer.address && entry.startedAtMillis == newer.startedAtMillis
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -11,17 +11,25 @@
     /**
      * Adds or replaces a server's entry, which was read from the store at [readAtMillis]. A server that said that it
      * leaves stays leaving until a later lifetime; one that was found lost stays lost unless the entry was read after
-     * that.
+     * that. If the store came back from an older copy ([isRestored]), the entry of a server that is gone since is not
+     * taken, as long as its last requests may run. Returns whether the entry was taken.
      */
-    public fun put(entry: BackendServerEntry, nowMillis: Long, readAtMillis: Long = nowMillis) {
+    public fun put(
+        entry: BackendServerEntry,
+        nowMillis: Long,
+        readAtMillis: Long = nowMillis,
+        isRestored: Boolean = false,
+    ): Boolean {
         val previous = servers[entry.id]
-        if (previous?.isAfter(entry) == true) return
-        val hasLeft = previous?.hasLeft(entry) ?: false
-        servers[entry.id] = BackendServerState(
-            entry = entry.copy(leaving = entry.leaving || hasLeft),
-            coldUntilMillis = nowMillis + entry.coldMillis,
-            lostAtMillis = previous?.lostAtMillis(newer = entry, readAtMillis = readAtMillis),
-        )
+        val isOutdated = previous != null && (previous.isAfter(entry) || (isRestored && previous.isGone(entry)))
+        if (!isOutdated) {
+            servers[entry.id] = BackendServerState(
+                entry = entry.copy(leaving = entry.leaving || previous?.hasLeft(entry) == true),
+                coldUntilMillis = nowMillis + entry.coldMillis,
+                lostAtMillis = previous?.lostAtMillis(newer = entry, readAtMillis = readAtMillis),
+            )
+        }
+        return !isOutdated
     }
 
     /** Records that the entry of [id] was deleted; the server expires at [usableUntilMillis]. */
--- a/core/src/test/kotlin/org/bulrushtack/core/store/TopicReplicaTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/store/TopicReplicaTest.kt
@@ -95,6 +95,130 @@
         }
     }
 
+    // Guards against daemons that follow nothing after the store came back from an older copy until it has grown again.
+    @Test
+    fun `the whole topic of a later era replaces one that ends later`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("config", 0), record("config", 8), complete = true).copy(era = 1))
+
+        val changed = testSubject.merge(batch(record("config", 3, "again"), complete = true).copy(era = 2))
+
+        changed.map { it.offset } shouldBe listOf(3L)
+        testSubject.endOffset shouldBe 4
+        testSubject.era shouldBe 2
+    }
+
+    @Test
+    fun `records of a later era change nothing until the whole topic is read`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("config", 4), complete = true).copy(era = 1))
+
+        testSubject.merge(batch(record("config", 5)).copy(era = 2)).size shouldBe 0
+
+        testSubject.endOffset shouldBe 5
+        testSubject.needsWhole shouldBe true
+    }
+
+    @Test
+    fun `a late batch of an earlier era changes nothing`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("config", 2), complete = true).copy(era = 2))
+
+        testSubject.merge(batch(record("config", 9), complete = true).copy(era = 1)).size shouldBe 0
+
+        testSubject.endOffset shouldBe 3
+    }
+
+    @Test
+    fun `a key that the older copy lacks counts as deleted`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("a", 0), record("b", 7), complete = true).copy(era = 1))
+
+        val changed = testSubject.merge(batch(record("a", 0), complete = true).copy(era = 2))
+
+        changed.map { it.key to it.value } shouldBe listOf("b" to null)
+    }
+
+    @Test
+    fun `a peer of an earlier era gets the whole topic, and one of a later era nothing`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("a", 4), complete = true).copy(era = 2))
+
+        testSubject.since(offset = 9, peerEra = 1)?.complete shouldBe true
+        testSubject.since(offset = 1, peerEra = 3) shouldBe null
+        testSubject.since(offset = 9, peerEra = null) shouldBe null
+    }
+
+    @Test
+    fun `a store that names no era is followed where it ends before what was read`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("config", 8), complete = true))
+
+        testSubject.merge(batch(record("config", 3, "again"), complete = true).copy(isRestored = true))
+        val changed = testSubject.merge(batch(record("config", 4)))
+
+        changed.map { it.offset } shouldBe listOf(4L)
+    }
+
+    @Test
+    fun `daemons converge on a store that came back from older copies, whatever the order of their batches`() {
+        repeat(DRAWS) { draw ->
+            val random = Random(draw)
+            val store = RestoredStore(random)
+            val daemons = List(3) { TopicReplica() }
+
+            repeat(200) {
+                when (random.nextInt(6)) {
+                    0 -> store.write()
+                    1 -> if (random.nextInt(8) == 0) store.restore()
+                    2, 3 -> daemons.random(random).let { it.merge(store.read(it)) }
+                    else -> {
+                        val (target, source) = daemons.shuffled(random)
+                        source.since(target.endOffset, target.era)?.let { target.merge(it) }
+                    }
+                }
+            }
+            repeat(2) { daemons.forEach { it.merge(store.read(it)) } }
+
+            daemons.forEach { daemon ->
+                val known = checkNotNull(daemon.since(offset = -1)).records.associate { it.key to it.offset }
+                known shouldBe store.newest().associate { it.key to it.offset }
+            }
+        }
+    }
+
+    /** A store of one topic that goes back to a random older state, with a later era. */
+    private inner class RestoredStore(
+        private val random: Random,
+    ) {
+        private val log = ArrayList<StoreRecord>()
+        private var era = 1L
+
+        fun write() {
+            val value = "v${random.nextInt()}".takeIf { random.nextInt(4) > 0 }
+            log.add(record("k${random.nextInt(5)}", log.size.toLong(), value))
+        }
+
+        fun restore() {
+            repeat(random.nextInt(log.size + 1)) { log.removeLast() }
+            era += 1
+        }
+
+        fun newest(): List<StoreRecord> = log.associateBy { it.key }.values.filter { it.value != null }
+
+        /** As the client of the store reads: records from the end of [replica] on, or else all. */
+        fun read(replica: TopicReplica): RecordBatch {
+            val from = replica.endOffset
+            val isWhole = from < 0 || from > log.size || replica.needsWhole
+            return RecordBatch(
+                records = if (isWhole) newest() else log.drop(from.toInt()),
+                complete = isWhole,
+                endOffset = log.size.toLong(),
+                era = era,
+            )
+        }
+    }
+
     private companion object {
         const val DRAWS = 50
     }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationMessages.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/CoordinationMessages.kt
@@ -23,6 +23,7 @@
         .setComplete(batch.complete)
         .setEndOffset(batch.endOffset)
         .setAgeMillis(ageMillis)
+        .setEraNumber(eraNumber(batch.era))
         .addAllRecords(batch.records.map { toWire(it) })
         .build()
 
@@ -32,8 +33,15 @@
         },
         complete = batch.complete,
         endOffset = batch.endOffset,
+        era = era(batch.eraNumber),
     )
 
+    /** The number that stands for [era] in messages; 0 if it isn't known. */
+    fun eraNumber(era: Long?): Long = if (era == null) 0 else era + 1
+
+    /** The era that [number] stands for, or null if the sender, as one of an older build, doesn't know it. */
+    fun era(number: Long): Long? = (number - 1).takeIf { it >= 0 }
+
     fun toWire(decision: PlacementDecision): PlaceReply = when (decision) {
         is PlacementDecision.Waiting -> PlaceReply.newBuilder().setWaiting(PlaceWaiting.getDefaultInstance())
         is PlacementDecision.Placed -> PlaceReply.newBuilder().setPlaced(placedToWire(decision))
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/TopicPositions.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/TopicPositions.kt
@@ -17,20 +17,21 @@
             TopicPosition.newBuilder()
                 .setTopic(topic.name)
                 .setEndOffset(replica.endOffset(topic))
+                .setEraNumber(CoordinationMessages.eraNumber(replica.era(topic)))
                 .setAgeMillis(replica.announcedAgeMillis(topic)),
         )
     }
 
-    /** Adds to [reply] the records that the sender of [request] lacks. */
+    /** Adds to [reply] the records that the sender of [request] lacks; nothing where it knows a later era. */
     fun addBatches(reply: SyncReply.Builder, request: SyncRequest) = request.positionsList.forEach { position ->
         val topic = topic(position)
         val ageMillis = topic?.let { replica.announcedAgeMillis(it) } ?: Long.MAX_VALUE
         if (topic != null && ageMillis != Long.MAX_VALUE) {
-            val missing = replica.since(topic, position.endOffset)
-            val batch = missing ?: EMPTY_BATCH.copy(endOffset = minOf(position.endOffset, replica.endOffset(topic)))
-            if (batch.endOffset >= position.endOffset) {
-                reply.addBatches(CoordinationMessages.toWire(topic, batch, ageMillis))
-            }
+            val era = CoordinationMessages.era(position.eraNumber) ?: replica.era(topic)
+            val missing = replica.since(topic, position.endOffset, era)
+            val batch = missing ?: emptyBatch(topic, endOffset = minOf(position.endOffset, replica.endOffset(topic)))
+            val isUseful = if (era == replica.era(topic)) batch.endOffset >= position.endOffset else missing != null
+            if (isUseful) reply.addBatches(CoordinationMessages.toWire(topic, batch, ageMillis))
         }
     }
 
@@ -38,9 +39,13 @@
     fun isBehind(request: SyncRequest, isFresher: Boolean): Boolean = request.positionsList.any { position ->
         val topic = topic(position)
         val ageMillis = position.ageMillis.takeIf { it > 0 } ?: Long.MAX_VALUE
-        topic != null && replica.isBehind(topic, position.endOffset, ageMillis, isFresher)
+        val era = CoordinationMessages.era(position.eraNumber)
+        topic != null && replica.isBehind(topic, position.endOffset, era, ageMillis, isFresher)
     }
 
+    private fun emptyBatch(topic: StoreTopic, endOffset: Long) =
+        RecordBatch(records = emptyList(), complete = false, endOffset = endOffset, era = replica.era(topic))
+
     private fun topic(position: TopicPosition): StoreTopic? =
         StoreTopic.entries.firstOrNull { it.name == position.topic && it.isReplicated }
 }
@@ -54,4 +59,3 @@
 
 /** What the two daemons may lose that pass on an age. */
 private const val ROUNDED_MILLIS = 2L
-private val EMPTY_BATCH = RecordBatch(records = emptyList(), complete = false, endOffset = 0)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
@@ -13,10 +13,23 @@
     private val log: EventLog,
 ) {
     private val entries = HashMap<String, BackendServerEntry>()
+    private val returnsAtMillis = HashMap<String, Long>()
 
     fun putServer(entry: BackendServerEntry, context: UpdateContext) {
-        val previous = entries.put(entry.id, entry)
-        fleet.put(entry = entry, nowMillis = context.nowMillis, readAtMillis = context.readAtMillis)
+        val isTaken = fleet.put(
+            entry = entry,
+            nowMillis = context.nowMillis,
+            readAtMillis = context.readAtMillis,
+            isRestored = context.isRestored,
+        )
+        if (isTaken) {
+            logPut(entry, context, previous = entries.put(entry.id, entry))
+        } else {
+            log.info("An entry of a backend server is older than what is known of it.", fields(entry, context))
+        }
+    }
+
+    private fun logPut(entry: BackendServerEntry, context: UpdateContext, previous: BackendServerEntry?) {
         val turnedCold = entry.coldMillis > 0 && (previous == null || previous.coldMillis == 0L)
         val message = when {
             previous == null || previous.startedAtMillis != entry.startedAtMillis -> "A backend server was added."
@@ -38,7 +51,27 @@
         )
     }
 
+    /** Takes a data centre out or brings it back; one that only an older copy lacks stays out for a while. */
     fun setTakenOut(update: StoreUpdate.DataCentre, record: StoreRecord, context: UpdateContext) {
+        if (context.isRestored && !update.takenOut) {
+            returnsAtMillis[update.name] = context.nowMillis + context.dropDelayMillis
+        } else {
+            returnsAtMillis.remove(update.name)
+            applyTakenOut(update, record, context)
+        }
+    }
+
+    /** Brings back the data centres whose records were not written again in time after the store came back. */
+    fun tick(nowMillis: Long) {
+        val due = returnsAtMillis.filterValues { it <= nowMillis }.keys.toList()
+        due.forEach { name ->
+            returnsAtMillis.remove(name)
+            fleet.setTakenOut(dataCentre = name, out = false)
+            log.info("A data centre was brought back.", LogField("data_centre", name))
+        }
+    }
+
+    private fun applyTakenOut(update: StoreUpdate.DataCentre, record: StoreRecord, context: UpdateContext) {
         fleet.setTakenOut(dataCentre = update.name, out = update.takenOut)
         log.info(
             if (update.takenOut) "A data centre was taken out." else "A data centre was brought back.",
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/LapsedEntryPolicy.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/LapsedEntryPolicy.kt
@@ -30,6 +30,11 @@
         return isOutage
     }
 
+    /** Records that [topic] came back from an older copy; what the copy lacks is written again as after an outage. */
+    fun recordRestored(topic: StoreTopic, nowMillis: Long) {
+        returnedAtMillis[topic] = nowMillis
+    }
+
     /** How long a server whose entry in [topic] is found removed at [nowMillis] still counts. */
     fun dropDelayMillis(topic: StoreTopic, nowMillis: Long): Long =
         returnedAtMillis[topic]?.let { maxOf(0, it + REWRITE_MILLIS - nowMillis) } ?: 0
--- /dev/null
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/RecordApplier.kt
@@ -0,0 +1,61 @@
+package org.bulrushtack.forward.store
+
+import org.bulrushtack.core.store.StoreRecord
+import org.bulrushtack.core.store.StoreRecordDecoder
+import org.bulrushtack.core.store.StoreTopic
+import org.bulrushtack.core.store.StoreUpdate
+import org.bulrushtack.forward.log.EventLog
+import org.bulrushtack.forward.log.LogField
+import org.bulrushtack.forward.quarantine.CrashReports
+
+/** Decodes new records of the platform's store and applies their updates to [state]. */
+internal class RecordApplier(
+    state: ForwardState,
+    private val decoder: StoreRecordDecoder,
+    private val peers: PeerRecords,
+    private val crashReports: CrashReports,
+    private val log: EventLog,
+) {
+    private val fleetUpdater = FleetUpdater(fleet = state.fleet, log = log)
+    private val configurationUpdater = ConfigurationUpdater(state = state, log = log)
+
+    /** Applies [record]; whatever that does to the code that applies it, the other records of its batch are applied. */
+    fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
+        runCatching {
+            when (topic) {
+                StoreTopic.DAEMONS -> peers.learnAddress(record)
+                StoreTopic.CRASHES -> crashReports.apply(record)
+                else -> applyUpdate(topic, record, context)
+            }
+        }.onFailure { logFailure(record, it) }
+    }
+
+    /** Applies what was postponed until [nowMillis]. */
+    fun tick(nowMillis: Long) = fleetUpdater.tick(nowMillis)
+
+    private fun applyUpdate(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
+        when (val update = decoder.decode(topic, record)) {
+            is StoreUpdate.Configuration -> configurationUpdater.apply(update.configuration, record, context)
+            is StoreUpdate.DataCentre -> fleetUpdater.setTakenOut(update, record, context)
+            is StoreUpdate.ServerUpdated -> fleetUpdater.putServer(update.entry, context)
+            is StoreUpdate.ServerRemoved -> fleetUpdater.dropServer(update.id, context)
+            is StoreUpdate.Unreadable -> {
+                update.id?.let { fleetUpdater.dropServer(it, context.copy(dropDelayMillis = 0)) }
+                log.warn(
+                    "A record can't be used.",
+                    LogField("key", record.key),
+                    LogField("offset", record.offset),
+                    LogField("reason", update.reason),
+                )
+            }
+            StoreUpdate.Irrelevant -> Unit
+        }
+    }
+
+    private fun logFailure(record: StoreRecord, failure: Throwable) = log.error(
+        "A record could not be applied.",
+        failure,
+        LogField("key", record.key),
+        LogField("offset", record.offset),
+    )
+}
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -115,7 +115,8 @@
         review { recordSent(topic, nowMillis) }
         thread.schedule(role.silenceMillis) { review { review(thread.nowMillis()) } }
         val offset = replica.endOffset(topic)
-        val reply = if (offset < 0) store.newest(topic) else store.read(topic, offset, waitMillis = 0)
+        val isWhole = replica.needsWhole(topic)
+        val reply = if (isWhole) store.newest(topic) else store.read(topic, offset, waitMillis = 0)
         thread.whenDone(reply) { batch, failure ->
             onReply(topic, poll, batch ?: PlatformFailure("unexpected: $failure").left())
         }
@@ -145,6 +146,7 @@
                 polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
                 review { recordSuccess(topic, nowMillis) }
+                if (replica.needsWhole(topic)) startPoll(topic, poll, nowMillis)
                 startOthers(nowMillis)
                 if (!role.isReader || role.isSubstitute) onRead(batch.records.isNotEmpty())
             },
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -1,12 +1,9 @@
 package org.bulrushtack.forward.store
 
 import org.bulrushtack.core.control.MonotonicClock
-import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.store.RecordBatch
-import org.bulrushtack.core.store.StoreRecord
 import org.bulrushtack.core.store.StoreRecordDecoder
 import org.bulrushtack.core.store.StoreTopic
-import org.bulrushtack.core.store.StoreUpdate
 import org.bulrushtack.core.store.TopicReplica
 import org.bulrushtack.forward.log.EventLog
 import org.bulrushtack.forward.log.LogField
@@ -15,21 +12,58 @@
 /** Merges records from the platform's store and from peers, and applies their updates to [state]. */
 internal class StoreReplica(
     private val state: ForwardState,
-    private val decoder: StoreRecordDecoder,
-    private val peers: PeerRecords,
-    private val crashReports: CrashReports,
+    decoder: StoreRecordDecoder,
+    peers: PeerRecords,
+    crashReports: CrashReports,
     private val clock: MonotonicClock,
     private val log: EventLog,
 ) {
     private val topics = StoreTopic.entries.associateWith { LocalTopic() }
-    private val fleetUpdater = FleetUpdater(fleet = state.fleet, log = log)
+    private val applier = RecordApplier(
+        state = state,
+        decoder = decoder,
+        peers = peers,
+        crashReports = crashReports,
+        log = log,
+    )
+
+    /** Called when a topic was found to have come back from an older copy. */
+    var onRestored: (StoreTopic) -> Unit = {}
 
-    /** Merges [batch], which the store returned [ageMillis] ago to [source]. */
+    /**
+     * Merges [batch], which the store returned [ageMillis] ago to [source]. Of a later era of the store only a whole
+     * topic is taken, since nothing else says what of the records of an earlier era still holds.
+     */
     fun merge(topic: StoreTopic, batch: RecordBatch, ageMillis: Long, source: String) {
         val nowMillis = clock.nowMillis()
-        val local = topics.getValue(topic)
-        val readAtMillis = nowMillis - ageMillis
-        val unreadMillis = local.confirm(readAtMillis, batch.reachesEnd)
+        val replica = topics.getValue(topic).replica
+        val isLaterEra = replica.eraOf(batch) > replica.era
+        val isRestored = isLaterEra && replica.isRestoredBy(batch)
+        applier.tick(nowMillis)
+        if (!replica.accepts(batch)) {
+            replica.merge(batch)
+            return
+        }
+        if (isRestored) {
+            state.lapses.recordRestored(topic, nowMillis)
+            logRestored(topic, batch, source)
+        }
+        confirm(topic, batch, nowMillis, readAtMillis = nowMillis - ageMillis)
+        if (isLaterEra || batch.endOffset >= replica.endOffset) {
+            val context = UpdateContext(
+                nowMillis = nowMillis,
+                readAtMillis = nowMillis - ageMillis,
+                dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis),
+                source = source,
+                isRestored = isRestored,
+            )
+            replica.merge(batch).sortedBy { it.offset }.forEach { applier.apply(topic, it, context) }
+        }
+        if (isRestored) onRestored(topic)
+    }
+
+    private fun confirm(topic: StoreTopic, batch: RecordBatch, nowMillis: Long, readAtMillis: Long) {
+        val unreadMillis = topics.getValue(topic).confirm(readAtMillis, batch.reachesEnd)
         state.silence.tick(nowMillis)
         val unheardMillis =
             state.silence.unheardMillis(fromMillis = readAtMillis - unreadMillis, toMillis = readAtMillis)
@@ -41,27 +75,20 @@
                 LogField("unheard_millis", unheardMillis),
             )
         }
-        if (batch.endOffset >= local.replica.endOffset) {
-            val dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis)
-            val context = UpdateContext(
-                nowMillis = nowMillis,
-                readAtMillis = nowMillis - ageMillis,
-                dropDelayMillis = dropDelayMillis,
-                source = source,
-            )
-            local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
-                // Whatever a record does to the code that applies it, the others of the batch are not read again.
-                runCatching { apply(topic, record, context) }.onFailure { logFailure(record, it) }
-            }
-        }
     }
 
-    private fun logFailure(record: StoreRecord, failure: Throwable) = log.error(
-        "A record could not be applied.",
-        failure,
-        LogField("key", record.key),
-        LogField("offset", record.offset),
-    )
+    private fun logRestored(topic: StoreTopic, batch: RecordBatch, source: String) {
+        val replica = topics.getValue(topic).replica
+        log.warn(
+            "The platform's store came back from an older copy.",
+            LogField("topic", topic),
+            LogField("era", replica.eraOf(batch)),
+            LogField("previous_era", replica.era),
+            LogField("end", batch.endOffset),
+            LogField("previous_end", replica.endOffset),
+            LogField("source", source),
+        )
+    }
 
     /** The time since this daemon or another last read [topic] from the store. */
     fun ageMillis(topic: StoreTopic): Long =
@@ -74,66 +101,31 @@
     /** The offset that follows the last known record of [topic], or -1. */
     fun endOffset(topic: StoreTopic): Long = topics.getValue(topic).replica.endOffset
 
-    /** The records of [topic] that a peer at [offset] lacks, or null when it lacks none. */
-    fun since(topic: StoreTopic, offset: Long): RecordBatch? = topics.getValue(topic).replica.since(offset)
+    /** The era of the store to which [endOffset] of [topic] belongs. */
+    fun era(topic: StoreTopic): Long = topics.getValue(topic).replica.era
+
+    /** Whether [topic] has to be read from its beginning. */
+    fun needsWhole(topic: StoreTopic): Boolean = endOffset(topic) < 0 || topics.getValue(topic).replica.needsWhole
+
+    /** The records that a peer lacks whose [topic] ends at [offset] of [era] (null: unknown), or null if it has all. */
+    fun since(topic: StoreTopic, offset: Long, era: Long?): RecordBatch? =
+        topics.getValue(topic).replica.since(offset, era)
 
     /**
-     * Whether a daemon whose replica of [topic] ends at [endOffset] and is [ageMillis] old has records that this one
-     * should get from it. Without [isFresher], which tells that it is to have the freshest, this daemon gets them from
-     * others unless its own are old.
+     * Whether a daemon whose replica of [topic] ends at [endOffset] of [era], null if unknown, and is [ageMillis] old
+     * has records that this one should get from it. Without [isFresher], which tells that it is to have the freshest,
+     * this daemon gets them from others unless its own are old or of an earlier era.
      */
-    fun isBehind(topic: StoreTopic, endOffset: Long, ageMillis: Long, isFresher: Boolean): Boolean {
+    fun isBehind(topic: StoreTopic, endOffset: Long, era: Long?, ageMillis: Long, isFresher: Boolean): Boolean {
+        val ownEra = era(topic)
         val ownAgeMillis = ageMillis(topic)
         val hasMore = endOffset > endOffset(topic) || ageMillis < ownAgeMillis - MARGIN_MILLIS
-        return topic in POLL_INTERVALS_MILLIS && hasMore && (isFresher || ownAgeMillis > STALE_MILLIS)
-    }
-
-    private fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) = when (topic) {
-        StoreTopic.DAEMONS -> peers.learnAddress(record)
-        StoreTopic.CRASHES -> crashReports.apply(record)
-        else -> applyUpdate(topic, record, context)
-    }
-
-    private fun applyUpdate(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
-        when (val update = decoder.decode(topic, record)) {
-            is StoreUpdate.Configuration -> configure(update, record, context)
-            is StoreUpdate.DataCentre -> fleetUpdater.setTakenOut(update, record, context)
-            is StoreUpdate.ServerUpdated -> fleetUpdater.putServer(update.entry, context)
-            is StoreUpdate.ServerRemoved -> fleetUpdater.dropServer(update.id, context)
-            is StoreUpdate.Unreadable -> {
-                update.id?.let { fleetUpdater.dropServer(it, context.copy(dropDelayMillis = 0)) }
-                log.warn(
-                    "A record can't be used.",
-                    LogField("key", record.key),
-                    LogField("offset", record.offset),
-                    LogField("reason", update.reason),
-                )
-            }
-            StoreUpdate.Irrelevant -> Unit
+        val isBehind = when {
+            (era ?: ownEra) > ownEra -> true
+            (era ?: ownEra) < ownEra -> false
+            else -> hasMore && (isFresher || ownAgeMillis > STALE_MILLIS)
         }
-    }
-
-    private fun configure(update: StoreUpdate.Configuration, record: StoreRecord, context: UpdateContext) {
-        val previous = state.routing?.configuration?.version
-        logProblems(update.configuration.problems - state.routing?.configuration?.problems.orEmpty().toSet(), record)
-        state.routing = RoutingTable(update.configuration)
-        log.info(
-            "The configuration was applied.",
-            LogField("version", update.configuration.version),
-            LogField("previous", previous),
-            LogField("offset", record.offset),
-            LogField("source", context.source),
-            LogField("routes", update.configuration.routes.size),
-        )
-    }
-
-    private fun logProblems(problems: List<String>, record: StoreRecord) = problems.forEach { problem ->
-        log.warn(
-            "A part of the configuration can't be used.",
-            LogField("reason", problem),
-            LogField("key", record.key),
-            LogField("offset", record.offset),
-        )
+        return topic in POLL_INTERVALS_MILLIS && isBehind
     }
 
     private class LocalTopic {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
@@ -6,10 +6,12 @@
  * @property readAtMillis when the update was read from the store, by whichever daemon, or a little earlier
  * @property dropDelayMillis how long a server whose entry was dropped still counts as present
  * @property source the store, or the name of the daemon that passed on the record
+ * @property isRestored whether the update is of an older copy from which the store came back
  */
 internal data class UpdateContext(
     val nowMillis: Long,
     val readAtMillis: Long,
     val dropDelayMillis: Long,
     val source: String,
+    val isRestored: Boolean = false,
 )
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeFollowers.kt
@@ -144,7 +144,13 @@
             val isSubstitute = table.isSubstituteReader(sender.table.self.name, time.nowMillis())
             return positions.any { (topic, position) ->
                 val (endOffset, ageMillis) = position
-                replica.isBehind(topic, endOffset, ageMillis, isFresher = isFirst || isSubstitute)
+                replica.isBehind(
+                    topic = topic,
+                    endOffset = endOffset,
+                    era = sender.replica.era(topic),
+                    ageMillis = ageMillis,
+                    isFresher = isFirst || isSubstitute,
+                )
             }
         }
 
@@ -177,7 +183,7 @@
 
         private fun copyFrom(other: Daemon) = StoreTopic.entries.forEach { topic ->
             val ageMillis = other.replica.announcedAgeMillis(topic)
-            val batch = other.replica.since(topic, replica.endOffset(topic))
+            val batch = other.replica.since(topic, replica.endOffset(topic), replica.era(topic))
             if (ageMillis != Long.MAX_VALUE && other.replica.endOffset(topic) >= replica.endOffset(topic)) {
                 val merged = batch ?: EMPTY.copy(endOffset = replica.endOffset(topic))
                 time.thread.schedule(link.roundTripMillis) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/CoordinationOuterClass.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/CoordinationOuterClass.java
@@ -158,15 +158,16 @@
       " \001(\t\022\016\n\006writes\030\003 \001(\010\022\025\n\rmemory_tokens\030\004 " +
       "\001(\003\022\026\n\016context_tokens\030\005 \001(\003\022\023\n\013read_mill" +
       "is\030\006 \001(\001\022\024\n\014pause_millis\030\007 \001(\003\022\022\n\nage_mi" +
-      "llis\030\010 \001(\003\"F\n\rTopicPosition\022\r\n\005topic\030\001 \001" +
+      "llis\030\010 \001(\003\"Z\n\rTopicPosition\022\r\n\005topic\030\001 \001" +
       "(\t\022\022\n\nend_offset\030\002 \001(\003\022\022\n\nage_millis\030\003 \001" +
-      "(\003\"^\n\013TopicRecord\022\013\n\003key\030\001 \001(\t\022\016\n\006offset" +
-      "\030\002 \001(\003\022\017\n\007dropped\030\003 \001(\010\022\r\n\005value\030\004 \001(\014\022\022" +
-      "\n\ncompressed\030\005 \001(\010\"\220\001\n\nTopicBatch\022\r\n\005top" +
-      "ic\030\001 \001(\t\022\020\n\010complete\030\002 \001(\010\022\022\n\nend_offset" +
-      "\030\003 \001(\003\022\022\n\nage_millis\030\004 \001(\003\0229\n\007records\030\005 " +
-      "\003(\0132(.bulrushtack.coordination.v1.TopicR" +
-      "ecord\"\214\003\n\013SyncRequest\0229\n\006sender\030\001 \001(\0132)." +
+      "(\003\022\022\n\nera_number\030\004 \001(\003\"^\n\013TopicRecord\022\013\n" +
+      "\003key\030\001 \001(\t\022\016\n\006offset\030\002 \001(\003\022\017\n\007dropped\030\003 " +
+      "\001(\010\022\r\n\005value\030\004 \001(\014\022\022\n\ncompressed\030\005 \001(\010\"\244" +
+      "\001\n\nTopicBatch\022\r\n\005topic\030\001 \001(\t\022\020\n\010complete" +
+      "\030\002 \001(\010\022\022\n\nend_offset\030\003 \001(\003\022\022\n\nage_millis" +
+      "\030\004 \001(\003\0229\n\007records\030\005 \003(\0132(.bulrushtack.co" +
+      "ordination.v1.TopicRecord\022\022\n\nera_number\030" +
+      "\006 \001(\003\"\214\003\n\013SyncRequest\0229\n\006sender\030\001 \001(\0132)." +
       "bulrushtack.coordination.v1.DaemonRecord" +
       "\022=\n\tpositions\030\002 \003(\0132*.bulrushtack.coordi" +
       "nation.v1.TopicPosition\022>\n\tresidents\030\003 \003" +
@@ -280,7 +281,7 @@
     internal_static_bulrushtack_coordination_v1_TopicPosition_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_TopicPosition_descriptor,
-        new java.lang.String[] { "Topic", "EndOffset", "AgeMillis", });
+        new java.lang.String[] { "Topic", "EndOffset", "AgeMillis", "EraNumber", });
     internal_static_bulrushtack_coordination_v1_TopicRecord_descriptor =
       getDescriptor().getMessageTypes().get(9);
     internal_static_bulrushtack_coordination_v1_TopicRecord_fieldAccessorTable = new
@@ -292,7 +293,7 @@
     internal_static_bulrushtack_coordination_v1_TopicBatch_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessageV3.FieldAccessorTable(
         internal_static_bulrushtack_coordination_v1_TopicBatch_descriptor,
-        new java.lang.String[] { "Topic", "Complete", "EndOffset", "AgeMillis", "Records", });
+        new java.lang.String[] { "Topic", "Complete", "EndOffset", "AgeMillis", "Records", "EraNumber", });
     internal_static_bulrushtack_coordination_v1_SyncRequest_descriptor =
       getDescriptor().getMessageTypes().get(11);
     internal_static_bulrushtack_coordination_v1_SyncRequest_fieldAccessorTable = new
--- a/protocol/src/main/java/org/bulrushtack/protocol/TopicBatch.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/TopicBatch.java
@@ -158,6 +158,21 @@
     return records_.get(index);
   }
 
+  public static final int ERA_NUMBER_FIELD_NUMBER = 6;
+  private long eraNumber_ = 0L;
+  /**
+   * <pre>
+   * The era of the platform's store to which the offsets belong, plus one; 0 for unknown.
+   * </pre>
+   *
+   * <code>int64 era_number = 6;</code>
+   * @return The eraNumber.
+   */
+  @java.lang.Override
+  public long getEraNumber() {
+    return eraNumber_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -187,6 +202,9 @@
     for (int i = 0; i < records_.size(); i++) {
       output.writeMessage(5, records_.get(i));
     }
+    if (eraNumber_ != 0L) {
+      output.writeInt64(6, eraNumber_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -215,6 +233,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, records_.get(i));
     }
+    if (eraNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(6, eraNumber_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -240,6 +262,8 @@
         != other.getAgeMillis()) return false;
     if (!getRecordsList()
         .equals(other.getRecordsList())) return false;
+    if (getEraNumber()
+        != other.getEraNumber()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -266,6 +290,9 @@
       hash = (37 * hash) + RECORDS_FIELD_NUMBER;
       hash = (53 * hash) + getRecordsList().hashCode();
     }
+    hash = (37 * hash) + ERA_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEraNumber());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -408,6 +435,7 @@
         recordsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      eraNumber_ = 0L;
       return this;
     }
 
@@ -466,6 +494,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.eraNumber_ = eraNumber_;
+      }
     }
 
     @java.lang.Override
@@ -552,6 +583,9 @@
           }
         }
       }
+      if (other.getEraNumber() != 0L) {
+        setEraNumber(other.getEraNumber());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -611,6 +645,11 @@
               }
               break;
             } // case 42
+            case 48: {
+              eraNumber_ = input.readInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1047,6 +1086,50 @@
       }
       return recordsBuilder_;
     }
+
+    private long eraNumber_ ;
+    /**
+     * <pre>
+     * The era of the platform's store to which the offsets belong, plus one; 0 for unknown.
+     * </pre>
+     *
+     * <code>int64 era_number = 6;</code>
+     * @return The eraNumber.
+     */
+    @java.lang.Override
+    public long getEraNumber() {
+      return eraNumber_;
+    }
+    /**
+     * <pre>
+     * The era of the platform's store to which the offsets belong, plus one; 0 for unknown.
+     * </pre>
+     *
+     * <code>int64 era_number = 6;</code>
+     * @param value The eraNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEraNumber(long value) {
+
+      eraNumber_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The era of the platform's store to which the offsets belong, plus one; 0 for unknown.
+     * </pre>
+     *
+     * <code>int64 era_number = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEraNumber() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      eraNumber_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/TopicBatchOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/TopicBatchOrBuilder.java
@@ -65,4 +65,14 @@
    */
   org.bulrushtack.protocol.TopicRecordOrBuilder getRecordsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * The era of the platform's store to which the offsets belong, plus one; 0 for unknown.
+   * </pre>
+   *
+   * <code>int64 era_number = 6;</code>
+   * @return The eraNumber.
+   */
+  long getEraNumber();
 }
--- a/protocol/src/main/java/org/bulrushtack/protocol/TopicPosition.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/TopicPosition.java
@@ -109,6 +109,21 @@
     return ageMillis_;
   }
 
+  public static final int ERA_NUMBER_FIELD_NUMBER = 4;
+  private long eraNumber_ = 0L;
+  /**
+   * <pre>
+   * The era of the platform's store to which the offset belongs, plus one; 0 for unknown.
+   * </pre>
+   *
+   * <code>int64 era_number = 4;</code>
+   * @return The eraNumber.
+   */
+  @java.lang.Override
+  public long getEraNumber() {
+    return eraNumber_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -132,6 +147,9 @@
     if (ageMillis_ != 0L) {
       output.writeInt64(3, ageMillis_);
     }
+    if (eraNumber_ != 0L) {
+      output.writeInt64(4, eraNumber_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -152,6 +170,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(3, ageMillis_);
     }
+    if (eraNumber_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, eraNumber_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -173,6 +195,8 @@
         != other.getEndOffset()) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (getEraNumber()
+        != other.getEraNumber()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -192,6 +216,9 @@
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMillis());
+    hash = (37 * hash) + ERA_NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getEraNumber());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -330,6 +357,7 @@
       topic_ = "";
       endOffset_ = 0L;
       ageMillis_ = 0L;
+      eraNumber_ = 0L;
       return this;
     }
 
@@ -372,6 +400,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.eraNumber_ = eraNumber_;
+      }
     }
 
     @java.lang.Override
@@ -429,6 +460,9 @@
       if (other.getAgeMillis() != 0L) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (other.getEraNumber() != 0L) {
+        setEraNumber(other.getEraNumber());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -470,6 +504,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              eraNumber_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -634,6 +673,50 @@
       onChanged();
       return this;
     }
+
+    private long eraNumber_ ;
+    /**
+     * <pre>
+     * The era of the platform's store to which the offset belongs, plus one; 0 for unknown.
+     * </pre>
+     *
+     * <code>int64 era_number = 4;</code>
+     * @return The eraNumber.
+     */
+    @java.lang.Override
+    public long getEraNumber() {
+      return eraNumber_;
+    }
+    /**
+     * <pre>
+     * The era of the platform's store to which the offset belongs, plus one; 0 for unknown.
+     * </pre>
+     *
+     * <code>int64 era_number = 4;</code>
+     * @param value The eraNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEraNumber(long value) {
+
+      eraNumber_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The era of the platform's store to which the offset belongs, plus one; 0 for unknown.
+     * </pre>
+     *
+     * <code>int64 era_number = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEraNumber() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      eraNumber_ = 0L;
+      onChanged();
+      return this;
+    }
     @java.lang.Override
     public final Builder setUnknownFields(
         final com.google.protobuf.UnknownFieldSet unknownFields) {
--- a/protocol/src/main/java/org/bulrushtack/protocol/TopicPositionOrBuilder.java
+++ b/protocol/src/main/java/org/bulrushtack/protocol/TopicPositionOrBuilder.java
@@ -35,4 +35,14 @@
    * @return The ageMillis.
    */
   long getAgeMillis();
+
+  /**
+   * <pre>
+   * The era of the platform's store to which the offset belongs, plus one; 0 for unknown.
+   * </pre>
+   *
+   * <code>int64 era_number = 4;</code>
+   * @return The eraNumber.
+   */
+  long getEraNumber();
 }
