Register again if the store came back without this daemon's record

A daemon that registered shortly before the store came back from an older copy has no record any more, and the offset that is its rank may be given to another daemon. It now reads the daemons' records within a second of a return and registers again if its own isn't there. RegistrationTest has both cases; they need the new call, so that they could not run before it.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -279,6 +279,7 @@
     private var syncTicks = 0L
 
     init {
+        replica.onRestored = ::onRestored
         follower.onRead = sync::passOn
         follower.onReadability = sync::tellReadability
         sync.onReadability = follower::tick
@@ -312,6 +313,10 @@
         )
     }
 
+    private fun onRestored(topic: StoreTopic) {
+        if (topic == StoreTopic.OPERATOR) registration.checkAfterRestore()
+    }
+
     private fun onReachabilityChanged() {
         announceReadiness()
         sync.tick()
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/Registration.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/Registration.kt
@@ -1,6 +1,7 @@
 package org.bulrushtack.forward.lifecycle
 
 import org.bulrushtack.core.request.Backoff
+import org.bulrushtack.core.store.RecordBatch
 import org.bulrushtack.core.store.RecordStore
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.ForwardThread
@@ -21,13 +22,14 @@
     private val state: ForwardState,
     private val thread: ForwardThread,
     private val log: EventLog,
-    random: Random,
+    private val random: Random,
 ) {
     private val daemons = state.daemons
     private val waits = Backoff(random = random, firstMillis = FIRST_WAIT_MILLIS, maximumMillis = MAXIMUM_WAIT_MILLIS)
     private var attempts = 0
     private var triedAtMillis = 0L
     private var failedReads = 0
+    private var isCheckDue = false
 
     /** Retries until the record is written. A record that is written twice does no harm: the later offset counts. */
     fun start() {
@@ -41,6 +43,13 @@
         }
     }
 
+    /** Registers again if this daemon's record is gone after the store came back from an older copy. */
+    fun checkAfterRestore() {
+        if (isCheckDue || daemons.self.rank == null) return
+        isCheckDue = true
+        thread.schedule(random.nextLong(CHECK_SPREAD_MILLIS)) { readDaemons() }
+    }
+
     private fun onRegistered(rank: Long) {
         daemons.self = daemons.self.copy(rank = rank)
         state.startupGracePeriod.markRegistered(thread.nowMillis())
@@ -52,7 +61,7 @@
         thread.whenDone(store.newest(StoreTopic.DAEMONS)) { reply, failure ->
             val reason = failure?.toString() ?: reply?.leftOrNull()?.reason
             if (reason == null) {
-                reply?.onRight { replica.merge(StoreTopic.DAEMONS, it, ageMillis = 0, source = "store") }
+                reply?.onRight { onDaemons(it) }
             } else {
                 log.warn("The daemon records could not be read; trying again.", LogField("reason", reason))
                 failedReads += 1
@@ -61,6 +70,17 @@
         }
     }
 
+    private fun onDaemons(batch: RecordBatch) {
+        replica.merge(StoreTopic.DAEMONS, batch, ageMillis = 0, source = "store")
+        val self = daemons.self
+        val isLost = isCheckDue && batch.records.none { it.key == self.name && it.offset == self.rank }
+        isCheckDue = false
+        if (isLost) {
+            log.warn("The record of this daemon is gone from the platform's store.", LogField("rank", self.rank))
+            start()
+        }
+    }
+
     private fun scheduleRetry(reason: String) {
         if (attempts == 1) log.warn("This daemon is not registered yet; trying again.", LogField("reason", reason))
         thread.schedule(waits.delayMillis(attempts)) { retryWhenReadable() }
@@ -78,6 +98,9 @@
 private const val FIRST_WAIT_MILLIS = 500L
 private const val MAXIMUM_WAIT_MILLIS = 4_000L
 
+/** Keeps all daemons from reading one another's records at once. */
+private const val CHECK_SPREAD_MILLIS = 1_000L
+
 /** A replica that is refreshed every 0.5 s by one daemon and passed on every 0.4 s is younger. */
 private const val READABLE_MILLIS = 1_100L
 
--- a/forward/src/test/kotlin/org/bulrushtack/forward/lifecycle/RegistrationTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/lifecycle/RegistrationTest.kt
@@ -80,6 +80,30 @@
         system.replica.endOffset(StoreTopic.DAEMONS) shouldBe 1L
     }
 
+    // Guards against two daemons of the same rank, as the store gives the offset of a lost record to another daemon.
+    @Test
+    fun `a daemon whose record is gone after the store came back registers again`() {
+        system.registration.start()
+        system.time.advance(SECOND_MILLIS)
+        system.store.append(StoreTopic.DAEMONS, key = "another", value = byteArrayOf())
+
+        system.registration.checkAfterRestore()
+        system.time.advance(2 * SECOND_MILLIS)
+
+        system.daemons.self.rank shouldBe 2L
+    }
+
+    @Test
+    fun `a daemon whose record is still there after the store came back keeps its rank`() {
+        system.registration.start()
+        system.time.advance(SECOND_MILLIS)
+
+        system.registration.checkAfterRestore()
+        system.time.advance(2 * SECOND_MILLIS)
+
+        system.daemons.self.rank shouldBe 0L
+    }
+
     private companion object {
         const val OUTAGE_MILLIS = 60_000L
         const val SECOND_MILLIS = 1_000L
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeSharedStore.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeSharedStore.kt
@@ -64,7 +64,8 @@
             RecordBatch(records = list.drop(offset.toInt()), complete = false, endOffset = list.size.toLong())
         }
 
-        override fun put(topic: StoreTopic, key: String, value: ByteArray) = respond(topic) { append(topic) - 1 }
+        override fun put(topic: StoreTopic, key: String, value: ByteArray) =
+            respond(topic) { append(topic, key, value) - 1 }
 
         override fun append(topic: StoreTopic, records: List<KeyedValue>, expectedEnd: Long) =
             respond<AppendOutcome>(topic) { AppendOutcome.EndMoved }
