Write reports of crashes again that the store lost

Reports of crashes that the store had taken since its copy was made are gone after its return, so that daemons that start later don't know of them. Each daemon writes its own ones once more. CrashReportsTest has the case; it needs the new call.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -315,6 +315,7 @@
 
     private fun onRestored(topic: StoreTopic) {
         if (topic == StoreTopic.OPERATOR) registration.checkAfterRestore()
+        if (topic == StoreTopic.CRASHES) crashReports.writeAgain()
     }
 
     private fun onReachabilityChanged() {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/quarantine/CrashReports.kt
@@ -45,6 +45,11 @@
         logChanges()
     }
 
+    /** Writes this daemon's reports once more, after the store came back from a copy that may lack them. */
+    fun writeAgain() = ownSuspects.forEach { (lifetimeId, suspects) ->
+        writer.write(CrashRecord.Crash(lifetimeId = lifetimeId, writerId = writerId, suspects = suspects))
+    }
+
     /** Records that a server answers a request with [parts]. */
     fun onAnswer(parts: Set<String>) {
         val cleared = quarantine.recordAnswer(parts, thread.nowMillis())
--- a/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/CrashReportsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/quarantine/CrashReportsTest.kt
@@ -101,6 +101,21 @@
         daemons.all { it.isRefused("bad") } shouldBe true
     }
 
+    // Guards against daemons that send a part which crashes servers, since the store lost the reports of it.
+    @Test
+    fun `reports that the store lost are written again`() {
+        (1..5).forEach { daemons.first().reports.onCrash(lifetime("i-$it"), setOf("bad")) }
+        advance(LIMIT_MILLIS)
+        val lostCount = store.records.size
+        val started = Daemon(name = "vm-new", lagMillis = 0)
+
+        daemons.first().reports.writeAgain()
+        advance(LIMIT_MILLIS)
+        store.records.drop(lostCount).forEach { started.reports.apply(it) }
+
+        started.isRefused("bad") shouldBe true
+    }
+
     @Test
     fun `what a daemon without answers yet suspects is cleared by one that has seen them`() {
         daemons.first().reports.onAnswer(setOf("common"))
