Log lines that tell why a daemon acts on an old configuration

A refusal named its version alone, a late version was an information line, which excerpts leave out, and no line told that a daemon was behind another one.

Refusals and finished requests name the version, the time since it was last confirmed, and (refusals) when it was applied and who passed it on. A version that comes late is a warning with its age, the time before in which nobody read, and the versions skipped. A configuration that nobody confirms, records that another daemon has, and a network thread that is held up are warnings at their begin, the first two at their end too. Lines about outages of the store name the call and whether the process stops; the end of an outage is a warning with its length. Gauges for the version, its ages, late versions and how far a daemon is behind. A line names the version of the table that decides, not the last one that was applied.

No process test was run.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/FinalResponse.kt
@@ -7,7 +7,6 @@
 import org.bulrushtack.core.exchange.SendOutcome
 import org.bulrushtack.core.route.Repeatability
 import org.bulrushtack.forward.ProblemWriter
-import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.http.HttpExchange
 import org.bulrushtack.http.HttpMessageResponse
 
@@ -99,14 +98,7 @@
     private fun finish(how: String) {
         isDone = true
         dependencies.metrics.recordCompletion(how.substringBefore(':'))
-        dependencies.log.info(
-            "A request finished.",
-            LogField("request", context.requestId),
-            LogField("route", context.route.name),
-            LogField("how", how),
-            LogField("age_millis", ageMillis),
-            LogField("objective_millis", context.route.objectiveMillis),
-        )
+        RequestLog(dependencies.log).recordFinished(context, how, ageMillis)
         onFinished()
     }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -22,10 +22,13 @@
     private val dependencies: ExchangeDependencies,
 ) : HttpHandler {
     private val drain = dependencies.drain
+    private val requestLog = RequestLog(dependencies.log)
     private val active = HashSet<ForwardedExchange>()
     private val configurationWait =
         ConfigurationWait(thread = dependencies.thread, isConfigured = { dependencies.state.routing != null })
 
+    private val knowledge get() = dependencies.state.knowledge(dependencies.thread.nowMillis())
+
     override val isClosing: Boolean get() = dependencies.state.draining
     override val observer = LostResponseObserver(metrics = dependencies.metrics, log = dependencies.log)
 
@@ -135,6 +138,7 @@
                 AnswerTimeEstimate.untilDeadline(deadlineMillis)
             },
             request = exchange.request,
+            knowledge = knowledge,
         )
         head.prompt?.let { shape ->
             dependencies.demand.recordArrival(service, shape, route.tokenGapMillis ?: route.objectiveMillis)
@@ -157,13 +161,7 @@
     private fun reject(exchange: HttpExchange, head: CallerRequestHead, kind: ErrorKind) {
         val requestId = head.attemptId ?: "unknown"
         dependencies.metrics.recordProblem(kind)
-        dependencies.log.info(
-            "A request was rejected at admission.",
-            LogField("request", requestId),
-            LogField("kind", kind.code),
-            LogField("status", kind.status),
-            LogField("version", dependencies.state.routing?.configuration?.version),
-        )
+        requestLog.recordRejected(requestId, kind, knowledge)
         val retryAfterMillis =
             if (kind == ErrorKind.SERVERS_UNREACHABLE) ELSEWHERE_MILLIS else ProblemWriter.DEFAULT_RETRY_MILLIS
         exchange.respond(ProblemWriter.response(Problem(kind), requestId, retryAfterMillis))
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardedRequestContext.kt
@@ -4,6 +4,7 @@
 import org.bulrushtack.core.exchange.StreamTimeouts
 import org.bulrushtack.core.route.Route
 import org.bulrushtack.core.route.Workspace
+import org.bulrushtack.forward.store.ConfigurationKnowledge
 import org.bulrushtack.forward.wire.CallerRequestHead
 import org.bulrushtack.http.HttpMessageRequest
 
@@ -13,6 +14,7 @@
  * @property service the service that was drawn for the request from the route's traffic split
  * @property deadlineAtMillis the time of the monotonic clock by which the caller needs the final response
  * @property answerTime the time that a send is estimated to take
+ * @property knowledge the configuration by which the request was admitted, as it was known then
  */
 internal data class ForwardedRequestContext(
     val requestId: String,
@@ -25,6 +27,7 @@
     val deadlineAtMillis: Long,
     val answerTime: AnswerTimeEstimate,
     val request: HttpMessageRequest,
+    val knowledge: ConfigurationKnowledge,
 ) {
     /** The priority among waiting requests; 0 is the most urgent. */
     val priority: Int get() = workspace?.priority ?: route.priority
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -45,6 +45,7 @@
 import org.bulrushtack.forward.log.EventLogs
 import org.bulrushtack.forward.log.LogField
 import org.bulrushtack.forward.peer.CoordinationService
+import org.bulrushtack.forward.peer.LagLog
 import org.bulrushtack.forward.peer.PeerConnections
 import org.bulrushtack.forward.peer.PeerSync
 import org.bulrushtack.forward.peer.PlainLoadSync
@@ -58,10 +59,13 @@
 import org.bulrushtack.forward.quarantine.ServerLiveness
 import org.bulrushtack.forward.reachability.HttpConnectionProber
 import org.bulrushtack.forward.reachability.ReachabilityMonitor
+import org.bulrushtack.forward.store.ConfirmationLog
 import org.bulrushtack.forward.store.ForwardState
+import org.bulrushtack.forward.store.KnowledgeSources
 import org.bulrushtack.forward.store.LapsedEntryPolicy
 import org.bulrushtack.forward.store.PeerRecords
 import org.bulrushtack.forward.store.ReaderRole
+import org.bulrushtack.forward.store.RecentFailures
 import org.bulrushtack.forward.store.StoreFollower
 import org.bulrushtack.forward.store.StoreReplica
 import org.bulrushtack.http.BodyMemory
@@ -147,6 +151,18 @@
         clock = clock,
         log = logs.forComponent("knowledge"),
     )
+    private val failures = RecentFailures(clock)
+    private val sources = KnowledgeSources(daemons = daemons, failures = failures)
+    private val lagLog = LagLog(replica = replica, sources = sources, log = logs.forComponent("peers"))
+
+    /** What is logged when this daemon knows of changes too late. */
+    val lateness = LatenessLogs(
+        status = state.configuration,
+        delays = ThreadDelayLog(intervalMillis = TICK_INTERVAL_MILLIS, log = logs.forComponent("life")),
+        confirmations = ConfirmationLog(state.configuration, sources, logs.forComponent("knowledge")),
+        lags = lagLog,
+        clock = clock,
+    )
     val follower = StoreFollower(
         store = store,
         replica = replica,
@@ -280,6 +296,9 @@
 
     init {
         follower.onRead = sync::passOn
+        follower.onFailure = { failures.recordPoll(it.reason) }
+        sync.onFailure = { address, failure -> failures.recordSync(address, failure.message) }
+        sync.lagLog = lagLog
         follower.onReadability = sync::tellReadability
         sync.onReadability = follower::tick
         reachability.prober = HttpConnectionProber(client = client, thread = thread)
@@ -364,7 +383,7 @@
         metrics.gauge("bulrushtack.forward.vm.pressure") { state.daemons.self.pressure }
         metrics.gauge("bulrushtack.forward.servers") { state.fleet.size }
         metrics.gauge("bulrushtack.forward.servers.reached") { if (state.daemons.self.reachesServers) 1 else 0 }
-        metrics.gauge("bulrushtack.forward.configuration.version") { state.routing?.configuration?.version ?: -1 }
+        lateness.registerGauges(metrics)
         duties?.registerGauges(metrics)
         StoreTopic.entries.filter { it.isReplicated }.forEach { topic ->
             val name = "bulrushtack.forward.knowledge.age.${topic.name.lowercase()}"
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardingDaemon.kt
@@ -115,6 +115,7 @@
 
     private fun tick() {
         val nowMillis = components.thread.nowMillis()
+        components.lateness.tick(nowMillis)
         components.reachability.tick()
         state.silence.tick(nowMillis)
         components.announceReadiness()
@@ -172,7 +173,7 @@
 )
 
 /** A fifth of the interval between two reads of the store, the shortest time that ticks measure. */
-private const val TICK_INTERVAL_MILLIS = 100L
+internal const val TICK_INTERVAL_MILLIS = 100L
 
 /** A quarter of the time that callers wait for a new connection. */
 private const val REVIEW_INTERVAL_MILLIS = 250L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerObserver.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerObserver.kt
@@ -17,6 +17,9 @@
     /** Called after news from a daemon that can't read the store, or can read it again. */
     var onReadability: () -> Unit = {}
 
+    /** Called with the address of a daemon with which a sync failed, and with the failure. */
+    var onFailure: (address: String, failure: Throwable) -> Unit = { _, _ -> }
+
     /** Records what a daemon says of itself or, if not [direct], of another one. */
     fun observe(nowMillis: Long, record: DaemonRecord, direct: Boolean) {
         val daemon = DaemonMessages.fromWire(record)
@@ -62,6 +65,7 @@
     /** Records that a sync with the daemon at [address] failed. */
     fun recordFailure(address: String, failure: Throwable) {
         val nowMillis = thread.nowMillis()
+        onFailure(address, failure)
         if (probes.recordFailure(address, nowMillis)) {
             log.info(
                 "A daemon did not respond.",
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -40,6 +40,12 @@
     /** Called after news from a daemon that can't read the store, or can read it again. */
     var onReadability: () -> Unit by observer::onReadability
 
+    /** Called with the address of a daemon with which a sync failed, and with the failure. */
+    var onFailure: (address: String, failure: Throwable) -> Unit by observer::onFailure
+
+    /** The log of records that this daemon lacks, or null if there is none. */
+    var lagLog: LagLog? = null
+
     /** The clock to keep with the peers, or null where no duties need one. */
     var trueTime: TrueTimeClock? = null
 
@@ -84,6 +90,7 @@
         trueTime?.announcedMillis?.let { reply.setTrueTimeMillis(it) }
         broker.pressures.current(nowMillis).forEach { reply.addPressures(PressureMessages.toWire(it)) }
         positions.addBatches(reply, request)
+        lagLog?.record(request, nowMillis)
         plainLoads?.handle(request, reply)
         val isFirst = daemons.ranked(nowMillis).firstOrNull()?.name == daemons.self.name
         val isSubstitute = daemons.isSubstituteReader(request.sender.name, nowMillis)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/ForwardState.kt
@@ -19,12 +19,19 @@
     /** The newest configuration, or null before the first is received. */
     var routing: RoutingTable? = null
 
+    /** Where the configuration came from and when it was last confirmed. */
+    val configuration = ConfigurationStatus()
+
     /** Whether the daemon is shutting down. */
     var draining: Boolean = false
 
     /** Whether this daemon reaches no backend server while other daemons do. */
     var isCutOff: Boolean = false
 
+    /** The configuration by which requests are decided at [nowMillis]; its version is that of the table in use. */
+    fun knowledge(nowMillis: Long): ConfigurationKnowledge =
+        configuration.at(nowMillis).copy(version = routing?.configuration?.version)
+
     /** Whether this daemon may be announced to callers. */
     val isReady: Boolean get() = routing != null && fleet.size > 0 && !draining && !isCutOff
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/ReaderRole.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/ReaderRole.kt
@@ -35,6 +35,9 @@
     /** Whether this daemon can't read the store at present. */
     val isUnreadable: Boolean get() = readability.isUnreadable
 
+    /** Whether this daemon is shutting down. */
+    val isLeaving: Boolean get() = daemons.self.leaving
+
     /** How long a poll may go without a reply. */
     val silenceMillis: Long get() = readability.silenceMillis
 
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -27,11 +27,19 @@
 ) {
     private val polls = POLL_INTERVALS_MILLIS.mapValues { (_, millis) -> Poll(intervalMillis = millis) }
     private val startedAtMillis = thread.nowMillis()
-    private val outageLog = StoreOutageLog(replica = replica, log = log)
+    private val outageLog = StoreOutageLog(
+        replica = replica,
+        log = log,
+        clock = thread::nowMillis,
+        isStopping = { role.isLeaving },
+    )
 
     /** Called when this daemon has read the store in place of the first one in rank, and whether it got records. */
     var onRead: (hasRecords: Boolean) -> Unit = {}
 
+    /** Called when a poll of the store failed. */
+    var onFailure: (PlatformFailure) -> Unit = {}
+
     /** Called when the other daemons have to hear whether this one can read the store. */
     var onReadability: () -> Unit = {}
 
@@ -135,6 +143,7 @@
                 val isFirstInOutage = role.isReader && overdueMillis(nowMillis) >= 0
                 val failing = if (isFirstInOutage) 1 else role.failingCount(nowMillis)
                 role.schedule.recordFailure(sentAtMillis = poll.sentAtMillis, nowMillis = nowMillis, failing = failing)
+                onFailure(failure)
                 outageLog.recordFailure(topic, failure)
             },
             ifRight = { batch ->
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreOutageLog.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.store
 
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.platform.PlatformFailure
 import org.bulrushtack.core.store.StoreTopic
 import org.bulrushtack.forward.log.EventLog
@@ -12,8 +13,10 @@
 internal class StoreOutageLog(
     private val replica: StoreReplica,
     private val log: EventLog,
+    private val clock: MonotonicClock,
+    private val isStopping: () -> Boolean,
 ) {
-    private var unavailable = false
+    private var unavailableFromMillis: Long? = null
     private var isSubstitute = false
 
     /** Whether this daemon takes its turns. */
@@ -56,21 +59,31 @@
 
     /** Records that a poll of [topic] failed. */
     fun recordFailure(topic: StoreTopic, failure: PlatformFailure) {
-        if (!unavailable) {
+        if (unavailableFromMillis == null) {
+            unavailableFromMillis = clock.nowMillis()
             log.warn(
                 "The platform's store is unavailable.",
                 LogField("topic", topic),
                 LogField("reason", failure.reason),
                 LogField("known_to", replica.endOffset(topic)),
                 LogField("age_millis", replica.ageMillis(topic)),
+                LogField("call", "poll"),
+                LogField("stopping", isStopping()),
+                LogField("version", replica.knowledge.version),
             )
         }
-        unavailable = true
     }
 
     /** Records that a poll of [topic] succeeded. */
     fun recordSuccess(topic: StoreTopic) {
-        if (unavailable) log.info("The platform's store is available again.", LogField("topic", topic))
-        unavailable = false
+        val fromMillis = unavailableFromMillis ?: return
+        unavailableFromMillis = null
+        log.warn(
+            "The platform's store is available again.",
+            LogField("topic", topic),
+            LogField("away_millis", clock.nowMillis() - fromMillis),
+            LogField("age_millis", replica.ageMillis(topic)),
+            LogField("version", replica.knowledge.version),
+        )
     }
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -23,6 +23,10 @@
 ) {
     private val topics = StoreTopic.entries.associateWith { LocalTopic() }
     private val fleetUpdater = FleetUpdater(fleet = state.fleet, log = log)
+    private val configurationLog = ConfigurationLog(log)
+
+    /** The configuration that this daemon goes by. */
+    val knowledge: ConfigurationKnowledge get() = state.knowledge(clock.nowMillis())
 
     /** Merges [batch], which the store returned [ageMillis] ago to [source]. */
     fun merge(topic: StoreTopic, batch: RecordBatch, ageMillis: Long, source: String) {
@@ -30,6 +34,7 @@
         val local = topics.getValue(topic)
         val readAtMillis = nowMillis - ageMillis
         val unreadMillis = local.confirm(readAtMillis, batch.reachesEnd)
+        if (topic == StoreTopic.OPERATOR) local.confirmedAtMillis?.let { state.configuration.recordConfirmed(it) }
         state.silence.tick(nowMillis)
         val unheardMillis =
             state.silence.unheardMillis(fromMillis = readAtMillis - unreadMillis, toMillis = readAtMillis)
@@ -48,6 +53,7 @@
                 readAtMillis = nowMillis - ageMillis,
                 dropDelayMillis = dropDelayMillis,
                 source = source,
+                unreadMillis = unreadMillis,
             )
             local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
                 // Whatever a record does to the code that applies it, the others of the batch are not read again.
@@ -95,8 +101,10 @@
     }
 
     private fun applyUpdate(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
+        val startedAtMillis = clock.nowMillis()
         when (val update = decoder.decode(topic, record)) {
-            is StoreUpdate.Configuration -> configure(update, record, context)
+            is StoreUpdate.Configuration ->
+                configure(update, record, context.copy(decodeMillis = clock.nowMillis() - startedAtMillis))
             is StoreUpdate.DataCentre -> fleetUpdater.setTakenOut(update, record, context)
             is StoreUpdate.ServerUpdated -> fleetUpdater.putServer(update.entry, context)
             is StoreUpdate.ServerRemoved -> fleetUpdater.dropServer(update.id, context)
@@ -114,26 +122,24 @@
     }
 
     private fun configure(update: StoreUpdate.Configuration, record: StoreRecord, context: UpdateContext) {
-        val previous = state.routing?.configuration?.version
-        logProblems(update.configuration.problems - state.routing?.configuration?.problems.orEmpty().toSet(), record)
-        state.routing = RoutingTable(update.configuration)
-        log.info(
-            "The configuration was applied.",
-            LogField("version", update.configuration.version),
-            LogField("previous", previous),
-            LogField("offset", record.offset),
-            LogField("source", context.source),
-            LogField("routes", update.configuration.routes.size),
-        )
-    }
-
-    private fun logProblems(problems: List<String>, record: StoreRecord) = problems.forEach { problem ->
-        log.warn(
-            "A part of the configuration can't be used.",
-            LogField("reason", problem),
-            LogField("key", record.key),
-            LogField("offset", record.offset),
+        val startedAtMillis = clock.nowMillis()
+        val configuration = update.configuration
+        val previous = state.routing?.configuration
+        configurationLog.recordProblems(configuration.problems - previous?.problems.orEmpty().toSet(), record)
+        state.routing = RoutingTable(configuration)
+        val nowMillis = clock.nowMillis()
+        val change = ConfigurationChange(
+            version = configuration.version,
+            previous = previous?.version,
+            source = context.source,
+            appliedAtMillis = nowMillis,
+            ageMillis = nowMillis - context.readAtMillis,
+            unreadMillis = context.unreadMillis,
+            decodeMillis = context.decodeMillis,
+            applyMillis = nowMillis - startedAtMillis,
         )
+        state.configuration.recordApplied(change)
+        configurationLog.recordApplied(change, configuration, record)
     }
 
     private class LocalTopic {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
@@ -6,10 +6,14 @@
  * @property readAtMillis when the update was read from the store, by whichever daemon, or a little earlier
  * @property dropDelayMillis how long a server whose entry was dropped still counts as present
  * @property source the store, or the name of the daemon that passed on the record
+ * @property unreadMillis the time between that read and the last one before that this daemon knew of
+ * @property decodeMillis how long it took to decode the record
  */
 internal data class UpdateContext(
     val nowMillis: Long,
     val readAtMillis: Long,
     val dropDelayMillis: Long,
     val source: String,
+    val unreadMillis: Long = 0,
+    val decodeMillis: Long = 0,
 )
