--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/RecordApplier.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/RecordApplier.kt
@@ -1,5 +1,6 @@
 package org.bulrushtack.forward.store
 
+import org.bulrushtack.core.control.MonotonicClock
 import org.bulrushtack.core.store.StoreRecord
 import org.bulrushtack.core.store.StoreRecordDecoder
 import org.bulrushtack.core.store.StoreTopic
@@ -14,10 +15,11 @@
     private val decoder: StoreRecordDecoder,
     private val peers: PeerRecords,
     private val crashReports: CrashReports,
+    private val clock: MonotonicClock,
     private val log: EventLog,
 ) {
     private val fleetUpdater = FleetUpdater(fleet = state.fleet, log = log)
-    private val configurationUpdater = ConfigurationUpdater(state = state, log = log)
+    private val configurationUpdater = ConfigurationUpdater(state = state, clock = clock, log = log)
 
     /** Applies [record]; whatever that does to the code that applies it, the other records of its batch are applied. */
     fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
@@ -34,8 +36,13 @@
     fun tick(nowMillis: Long) = fleetUpdater.tick(nowMillis)
 
     private fun applyUpdate(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
+        val startedAtMillis = clock.nowMillis()
         when (val update = decoder.decode(topic, record)) {
-            is StoreUpdate.Configuration -> configurationUpdater.apply(update.configuration, record, context)
+            is StoreUpdate.Configuration -> configurationUpdater.apply(
+                configuration = update.configuration,
+                record = record,
+                context = context.copy(decodeMillis = clock.nowMillis() - startedAtMillis),
+            )
             is StoreUpdate.DataCentre -> fleetUpdater.setTakenOut(update, record, context)
             is StoreUpdate.ServerUpdated -> fleetUpdater.putServer(update.entry, context)
             is StoreUpdate.ServerRemoved -> fleetUpdater.dropServer(update.id, context)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -24,9 +24,13 @@
         decoder = decoder,
         peers = peers,
         crashReports = crashReports,
+        clock = clock,
         log = log,
     )
 
+    /** The configuration that this daemon goes by. */
+    val knowledge: ConfigurationKnowledge get() = state.knowledge(clock.nowMillis())
+
     /** Called when a topic was found to have come back from an older copy. */
     var onRestored: (StoreTopic) -> Unit = {}
 
@@ -48,7 +52,7 @@
             state.lapses.recordRestored(topic, nowMillis)
             logRestored(topic, batch, source)
         }
-        confirm(topic, batch, nowMillis, readAtMillis = nowMillis - ageMillis)
+        val unreadMillis = confirm(topic, batch, nowMillis, readAtMillis = nowMillis - ageMillis)
         if (isLaterEra || batch.endOffset >= replica.endOffset) {
             val context = UpdateContext(
                 nowMillis = nowMillis,
@@ -56,14 +60,18 @@
                 dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis),
                 source = source,
                 isRestored = isRestored,
+                unreadMillis = unreadMillis,
             )
             replica.merge(batch).sortedBy { it.offset }.forEach { applier.apply(topic, it, context) }
         }
         if (isRestored) onRestored(topic)
     }
 
-    private fun confirm(topic: StoreTopic, batch: RecordBatch, nowMillis: Long, readAtMillis: Long) {
-        val unreadMillis = topics.getValue(topic).confirm(readAtMillis, batch.reachesEnd)
+    /** Records that [topic] was read at [readAtMillis], and returns the time since the last read before. */
+    private fun confirm(topic: StoreTopic, batch: RecordBatch, nowMillis: Long, readAtMillis: Long): Long {
+        val local = topics.getValue(topic)
+        val unreadMillis = local.confirm(readAtMillis, batch.reachesEnd)
+        if (topic == StoreTopic.OPERATOR) local.confirmedAtMillis?.let { state.configuration.recordConfirmed(it) }
         state.silence.tick(nowMillis)
         val unheardMillis =
             state.silence.unheardMillis(fromMillis = readAtMillis - unreadMillis, toMillis = readAtMillis)
@@ -75,6 +83,7 @@
                 LogField("unheard_millis", unheardMillis),
             )
         }
+        return unreadMillis
     }
 
     private fun logRestored(topic: StoreTopic, batch: RecordBatch, source: String) {
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/UpdateContext.kt
@@ -7,6 +7,8 @@
  * @property dropDelayMillis how long a server whose entry was dropped still counts as present
  * @property source the store, or the name of the daemon that passed on the record
  * @property isRestored whether the update is of an older copy from which the store came back
+ * @property unreadMillis the time between that read and the last one before that this daemon knew of
+ * @property decodeMillis how long it took to decode the record
  */
 internal data class UpdateContext(
     val nowMillis: Long,
@@ -14,4 +16,6 @@
     val dropDelayMillis: Long,
     val source: String,
     val isRestored: Boolean = false,
+    val unreadMillis: Long = 0,
+    val decodeMillis: Long = 0,
 )
