Call no route or key unknown while the configuration may be outdated

What callers saw: 404 on routes that had just been added, for as long as a daemon had no news. Cause: requests were decided by whatever configuration was in force, however old it was. A daemon that has missed a change can't tell a route that was added from one that doesn't exist. Change: where the operators' records were last confirmed over 1,500 ms ago, a request with an unknown route or key is held as those before the first configuration are (an eighth of its time, 1 s, 256 requests), then decided by what is known; if nothing was confirmed it gets 503 `configuration-outdated`, not run. Known routes and keys are served as before. A held request is decided anew as soon as anything changes that decides it, also as the daemon stops taking requests, and never held for longer than once.

--- a/core/src/main/kotlin/org/bulrushtack/core/error/ErrorKind.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/error/ErrorKind.kt
@@ -184,6 +184,13 @@
         retryAdvice = RetryAdvice.LATER,
         text = "The daemon has no configuration yet.",
     ),
+    CONFIGURATION_OUTDATED(
+        code = "configuration-outdated",
+        status = 503,
+        runState = RunState.NO,
+        retryAdvice = RetryAdvice.LATER,
+        text = "The daemon knows no such route or key, and may have missed a change of its configuration.",
+    ),
     DRAINING(
         code = "draining",
         status = 503,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ConfigurationWait.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ConfigurationWait.kt
@@ -5,12 +5,14 @@
 import java.util.concurrent.ScheduledFuture
 
 /**
- * Holds the requests that arrive before the first configuration. After all VMs have lost power, a refused caller spends
- * one of its few tries on a daemon that knows the configuration some 100 ms later.
+ * Holds the requests that arrive before the first configuration, or that an outdated one doesn't allow. A refused
+ * caller spends one of its few tries on a daemon that may know more some 100 ms later.
+ *
+ * @param basis what decides requests at present; a request is decided anew as soon as this changes
  */
 internal class ConfigurationWait(
     private val thread: ForwardThread,
-    private val isConfigured: () -> Boolean,
+    private val basis: () -> AdmissionBasis,
 ) {
     private val held = ArrayList<HeldRequest>()
     private var timer: ScheduledFuture<*>? = null
@@ -19,14 +21,15 @@
     val size: Int get() = held.size
 
     /**
-     * Holds the request of [exchange], which has [deadlineMillis] left, for a small share of that time and calls
-     * [onEnd] then, or as soon as a configuration is known. Returns false if it is not held.
+     * Holds the request of [exchange], which had [deadlineMillis] left at [receivedAtMillis], for a small share of that
+     * time and calls [onEnd] then, or as soon as it can be decided anew. Returns false if it is not held.
      */
-    fun hold(exchange: HttpExchange, deadlineMillis: Long?, onEnd: () -> Unit): Boolean {
+    fun hold(exchange: HttpExchange, deadlineMillis: Long?, receivedAtMillis: Long, onEnd: () -> Unit): Boolean {
         val holdMillis = minOf(MAXIMUM_HOLD_MILLIS, (deadlineMillis ?: 0) / DEADLINE_DIVISOR)
-        val isHeld = holdMillis >= CHECK_INTERVAL_MILLIS && held.size < MAXIMUM_HELD
+        val endsAtMillis = receivedAtMillis + holdMillis
+        val isHeld = endsAtMillis - thread.nowMillis() >= CHECK_INTERVAL_MILLIS && held.size < MAXIMUM_HELD
         if (isHeld) {
-            val request = HeldRequest(endsAtMillis = thread.nowMillis() + holdMillis, onEnd = onEnd)
+            val request = HeldRequest(endsAtMillis = endsAtMillis, basis = basis(), onEnd = onEnd)
             held.add(request)
             exchange.onClosed { held.remove(request) }
             schedule()
@@ -45,13 +48,15 @@
 
     private fun release() {
         val nowMillis = thread.nowMillis()
-        val released = if (isConfigured()) held.toList() else held.filter { nowMillis >= it.endsAtMillis }
+        val current = basis()
+        val released = held.filter { nowMillis >= it.endsAtMillis || it.basis != current }
         held.removeAll(released.toSet())
         thread.forEach(released) { it.onEnd() }
     }
 
     private class HeldRequest(
         val endsAtMillis: Long,
+        val basis: AdmissionBasis,
         val onEnd: () -> Unit,
     )
 }
@@ -63,5 +68,5 @@
 private const val MAXIMUM_HOLD_MILLIS = 1_000L
 private const val CHECK_INTERVAL_MILLIS = 20L
 
-/** Bounds what a crowd of returning callers may make a daemon hold while it starts. */
+/** Bounds what a crowd of callers may make a daemon hold. */
 private const val MAXIMUM_HELD = 256
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ExchangeDependencies.kt
@@ -21,6 +21,7 @@
 internal data class ExchangeDependencies(
     val state: ForwardState,
     val drain: DrainState,
+    val configurationAgeMillis: () -> Long,
     val codec: ExchangeCodec,
     val client: HttpClient,
     val placementClient: PlacementClient,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/ForwardHandler.kt
@@ -7,7 +7,6 @@
 import org.bulrushtack.core.placement.PromptShape
 import org.bulrushtack.core.route.Repeatability
 import org.bulrushtack.core.route.Route
-import org.bulrushtack.core.route.RoutingTable
 import org.bulrushtack.core.route.Workspace
 import org.bulrushtack.forward.ProblemWriter
 import org.bulrushtack.forward.log.LogField
@@ -23,8 +22,13 @@
 ) : HttpHandler {
     private val drain = dependencies.drain
     private val active = HashSet<ForwardedExchange>()
-    private val configurationWait =
-        ConfigurationWait(thread = dependencies.thread, isConfigured = { dependencies.state.routing != null })
+    private val admission = RequestAdmission(
+        state = dependencies.state,
+        drain = drain,
+        configurationAgeMillis = dependencies.configurationAgeMillis,
+        nowMillis = dependencies.thread::nowMillis,
+    )
+    private val configurationWait = ConfigurationWait(thread = dependencies.thread, basis = { admission.basis })
 
     override val isClosing: Boolean get() = dependencies.state.draining
     override val observer = LostResponseObserver(metrics = dependencies.metrics, log = dependencies.log)
@@ -34,26 +38,20 @@
 
     override fun handle(exchange: HttpExchange) {
         val head = dependencies.codec.callerRequestHead(exchange.request.headers)
-        val receivedAtMillis = dependencies.thread.nowMillis()
-        val isUnconfigured = dependencies.state.routing == null && !drain.rejectsNewRequests(receivedAtMillis)
-        val isHeld = isUnconfigured &&
-            configurationWait.hold(exchange, head.deadlineMillis) { admit(exchange, head, receivedAtMillis) }
-        if (!isHeld) admit(exchange, head, receivedAtMillis)
+        admit(exchange, head, receivedAtMillis = dependencies.thread.nowMillis())
     }
 
     private fun admit(exchange: HttpExchange, head: CallerRequestHead, receivedAtMillis: Long) {
-        val routing = dependencies.state.routing
-        val kind = when {
-            drain.rejectsNewRequests(dependencies.thread.nowMillis()) -> ErrorKind.DRAINING
-            routing == null -> ErrorKind.NOT_READY
-            dependencies.state.isCutOff -> ErrorKind.SERVERS_UNREACHABLE
-            head.attemptId == null -> ErrorKind.MALFORMED_REQUEST
-            else -> null
-        }
-        if (kind == null) {
-            route(exchange, head, checkNotNull(routing), receivedAtMillis)
-        } else {
-            reject(exchange, head, kind)
+        when (val decision = admission.decide(exchange.request, head)) {
+            is AdmissionDecision.Admitted ->
+                forward(exchange, head, decision.route, decision.workspace, receivedAtMillis)
+            is AdmissionDecision.Refused -> {
+                val isHeld = decision.isForWantOfKnowledge &&
+                    configurationWait.hold(exchange, head.deadlineMillis, receivedAtMillis) {
+                        admit(exchange, head, receivedAtMillis)
+                    }
+                if (!isHeld) reject(exchange, head, decision.kind)
+            }
         }
     }
 
@@ -92,23 +90,6 @@
         return ProblemWriter.response(problem = Problem(kind), requestId = "unknown")
     }
 
-    private fun route(
-        exchange: HttpExchange,
-        head: CallerRequestHead,
-        routing: RoutingTable,
-        receivedAtMillis: Long,
-    ) {
-        val request = exchange.request
-        val path = request.target.substringBefore('?')
-        val route = routing.route(host = request.headers.find("host").orEmpty(), path = path)
-        val workspace = head.key?.let { routing.workspace(it) }
-        when {
-            route == null -> reject(exchange, head, ErrorKind.UNKNOWN_PATH)
-            routing.needsKey && !route.open && workspace == null -> reject(exchange, head, ErrorKind.UNAUTHENTICATED)
-            else -> forward(exchange, head, route, workspace, receivedAtMillis)
-        }
-    }
-
     private fun forward(
         exchange: HttpExchange,
         head: CallerRequestHead,
