Apply a record again whose application failed

A record that met an unexpected error was logged, counted as known, and not applied before the next version of its key, so that a daemon used an old configuration while its replica was fresh. Change: RecordApplication keeps such records and applies them again with each merge, until they or later ones of their keys are applied; the error is logged once. Until then the operators' topic doesn't count as known when a request's route or key is unknown (503 `configuration-outdated` instead of 404 or 401). The age that daemons tell one another stays that of the read, so that a record that none can apply makes nobody read more often.

Red before: StoreReplicaTest, "a record that could not be applied is applied with the next merge": "Expected 1L but actual was null". Green after, with two more tests, and so are all tests of the package `store`.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/exchange/RequestAdmission.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/exchange/RequestAdmission.kt
@@ -10,7 +10,7 @@
  * Decides by the configuration in force whether a request is forwarded. A configuration that has not been confirmed
  * for too long still tells what exists, but not what doesn't.
  *
- * @param configurationAgeMillis the time since this daemon or another one read the operators' records from the store
+ * @param configurationAgeMillis the time since this daemon or another one read the operators' records that are applied
  */
 internal class RequestAdmission(
     private val state: ForwardState,
--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -234,7 +234,7 @@
     private val dependencies = ExchangeDependencies(
         state = state,
         drain = drain,
-        configurationAgeMillis = { replica.ageMillis(StoreTopic.OPERATOR) },
+        configurationAgeMillis = { replica.appliedAgeMillis(StoreTopic.OPERATOR) },
         codec = platform.exchangeCodec,
         client = client,
         placementClient = PlacementClient(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -21,7 +21,9 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
 ) {
-    private val topics = StoreTopic.entries.associateWith { LocalTopic() }
+    private val topics = StoreTopic.entries.associateWith { topic ->
+        LocalTopic(RecordApplication(log) { record, context -> apply(topic, record, context) })
+    }
     private val fleetUpdater = FleetUpdater(fleet = state.fleet, log = log)
 
     /** Merges [batch], which the store returned [ageMillis] ago to [source]. */
@@ -41,32 +43,25 @@
                 LogField("unheard_millis", unheardMillis),
             )
         }
-        if (batch.endOffset >= local.replica.endOffset) {
-            val dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis)
-            val context = UpdateContext(
-                nowMillis = nowMillis,
-                readAtMillis = nowMillis - ageMillis,
-                dropDelayMillis = dropDelayMillis,
-                source = source,
-            )
-            local.replica.merge(batch).sortedBy { it.offset }.forEach { record ->
-                // Whatever a record does to the code that applies it, the others of the batch are not read again.
-                runCatching { apply(topic, record, context) }.onFailure { logFailure(record, it) }
-            }
-        }
+        val isCurrent = batch.endOffset >= local.replica.endOffset
+        val changed = if (isCurrent) local.replica.merge(batch) else emptyList()
+        val context = UpdateContext(
+            nowMillis = nowMillis,
+            readAtMillis = readAtMillis,
+            dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis),
+            source = source,
+        )
+        local.application.apply(changed, context)
     }
 
-    private fun logFailure(record: StoreRecord, failure: Throwable) = log.error(
-        "A record could not be applied.",
-        failure,
-        LogField("key", record.key),
-        LogField("offset", record.offset),
-    )
-
     /** The time since this daemon or another last read [topic] from the store. */
     fun ageMillis(topic: StoreTopic): Long =
         topics.getValue(topic).confirmedAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
 
+    /** The same, or [Long.MAX_VALUE] while a record of [topic] is known and not applied. */
+    fun appliedAgeMillis(topic: StoreTopic): Long =
+        if (topics.getValue(topic).application.isComplete) ageMillis(topic) else Long.MAX_VALUE
+
     /** Whether the records of any polled topic should have been refreshed by now, by the store or by other daemons. */
     val isStale: Boolean
         get() = POLL_INTERVALS_MILLIS.any { (topic, millis) -> ageMillis(topic) >= millis + PASSING_ON_MILLIS }
@@ -136,7 +131,9 @@
         )
     }
 
-    private class LocalTopic {
+    private class LocalTopic(
+        val application: RecordApplication,
+    ) {
         val replica = TopicReplica()
         private var lastReadAtMillis: Long? = null
 
