--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -250,6 +250,7 @@
     private val dependencies = ExchangeDependencies(
         state = state,
         drain = drain,
+        configurationAgeMillis = { replica.appliedAgeMillis(StoreTopic.OPERATOR) },
         codec = platform.exchangeCodec,
         client = client,
         placementClient = PlacementClient(
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/RecordApplier.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/RecordApplier.kt
@@ -21,15 +21,11 @@
     private val fleetUpdater = FleetUpdater(fleet = state.fleet, log = log)
     private val configurationUpdater = ConfigurationUpdater(state = state, clock = clock, log = log)
 
-    /** Applies [record]; whatever that does to the code that applies it, the other records of its batch are applied. */
-    fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) {
-        runCatching {
-            when (topic) {
-                StoreTopic.DAEMONS -> peers.learnAddress(record)
-                StoreTopic.CRASHES -> crashReports.apply(record)
-                else -> applyUpdate(topic, record, context)
-            }
-        }.onFailure { logFailure(record, it) }
+    /** Applies [record] of [topic]. */
+    fun apply(topic: StoreTopic, record: StoreRecord, context: UpdateContext) = when (topic) {
+        StoreTopic.DAEMONS -> peers.learnAddress(record)
+        StoreTopic.CRASHES -> crashReports.apply(record)
+        else -> applyUpdate(topic, record, context)
     }
 
     /** Applies what was postponed until [nowMillis]. */
@@ -58,11 +54,4 @@
             StoreUpdate.Irrelevant -> Unit
         }
     }
-
-    private fun logFailure(record: StoreRecord, failure: Throwable) = log.error(
-        "A record could not be applied.",
-        failure,
-        LogField("key", record.key),
-        LogField("offset", record.offset),
-    )
 }
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -18,7 +18,6 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
 ) {
-    private val topics = StoreTopic.entries.associateWith { LocalTopic() }
     private val applier = RecordApplier(
         state = state,
         decoder = decoder,
@@ -28,6 +27,10 @@
         log = log,
     )
 
+    private val topics = StoreTopic.entries.associateWith { topic ->
+        LocalTopic(RecordApplication(log) { record, context -> applier.apply(topic, record, context) })
+    }
+
     /** The configuration that this daemon goes by. */
     val knowledge: ConfigurationKnowledge get() = state.knowledge(clock.nowMillis())
 
@@ -53,17 +56,17 @@
             logRestored(topic, batch, source)
         }
         val unreadMillis = confirm(topic, batch, nowMillis, readAtMillis = nowMillis - ageMillis)
-        if (isLaterEra || batch.endOffset >= replica.endOffset) {
-            val context = UpdateContext(
-                nowMillis = nowMillis,
-                readAtMillis = nowMillis - ageMillis,
-                dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis),
-                source = source,
-                isRestored = isRestored,
-                unreadMillis = unreadMillis,
-            )
-            replica.merge(batch).sortedBy { it.offset }.forEach { applier.apply(topic, it, context) }
-        }
+        val isCurrent = isLaterEra || batch.endOffset >= replica.endOffset
+        val changed = if (isCurrent) replica.merge(batch) else emptyList()
+        val context = UpdateContext(
+            nowMillis = nowMillis,
+            readAtMillis = nowMillis - ageMillis,
+            dropDelayMillis = state.lapses.dropDelayMillis(topic, nowMillis),
+            source = source,
+            isRestored = isRestored,
+            unreadMillis = unreadMillis,
+        )
+        topics.getValue(topic).application.apply(changed, context)
         if (isRestored) onRestored(topic)
     }
 
@@ -103,6 +106,10 @@
     fun ageMillis(topic: StoreTopic): Long =
         topics.getValue(topic).confirmedAtMillis?.let { clock.nowMillis() - it } ?: Long.MAX_VALUE
 
+    /** The same, or [Long.MAX_VALUE] while a record of [topic] is known and not applied. */
+    fun appliedAgeMillis(topic: StoreTopic): Long =
+        if (topics.getValue(topic).application.isComplete) ageMillis(topic) else Long.MAX_VALUE
+
     /** Whether the records of any polled topic should have been refreshed by now, by the store or by other daemons. */
     val isStale: Boolean
         get() = POLL_INTERVALS_MILLIS.any { (topic, millis) -> ageMillis(topic) >= millis + PASSING_ON_MILLIS }
@@ -137,7 +144,9 @@
         return topic in POLL_INTERVALS_MILLIS && isBehind
     }
 
-    private class LocalTopic {
+    private class LocalTopic(
+        val application: RecordApplication,
+    ) {
         val replica = TopicReplica()
         private var lastReadAtMillis: Long? = null
 
