Deletions that a list of all keys gets over reach peers too

Callers: requests could reach a server that had left, as a daemon kept its entry. Cause: a replica that gets over records with a list of all keys holds no record of a key that was written and deleted among them, but still sent peers between the two offsets only the records from theirs on, so that they kept the key. Change: such peers get all keys.

--- a/core/src/main/kotlin/org/bulrushtack/core/store/TopicReplica.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/store/TopicReplica.kt
@@ -78,7 +78,7 @@
         val newest = (batch.records + deleted).sortedBy { it.offset }.associateBy { it.key }.values
         val changed = newest.filter { it.offset > (records[it.key]?.offset ?: NO_OFFSET) }
         changed.forEach { records[it.key] = it }
-        if (batch.complete && completeFrom == NO_OFFSET) completeFrom = batch.endOffset
+        if (batch.complete && batch.endOffset > endOffset) completeFrom = batch.endOffset
         endOffset = maxOf(endOffset, batch.endOffset)
         return changed
     }
--- a/core/src/test/kotlin/org/bulrushtack/core/store/TopicReplicaTest.kt
+++ b/core/src/test/kotlin/org/bulrushtack/core/store/TopicReplicaTest.kt
@@ -64,6 +64,21 @@
         testSubject.since(7) shouldBe null
     }
 
+    // Guards against a peer that keeps the entry of a server that is gone: the replica got over the records of its
+    // entry and of its removal with a list of all keys, so that it holds no record of the removal to pass on.
+    @Test
+    fun `a peer learns of a key that was deleted among records that the replica got over`() {
+        val testSubject = TopicReplica()
+        testSubject.merge(batch(record("a", 0), complete = true, end = 1))
+        val peer = TopicReplica()
+        peer.merge(batch(record("a", 0), record("b", 1), complete = true, end = 2))
+
+        testSubject.merge(batch(record("a", 0), complete = true, end = 3))
+        val changed = testSubject.since(peer.endOffset)?.let { peer.merge(it) }.orEmpty()
+
+        changed.map { it.key to it.value } shouldBe listOf("b" to null)
+    }
+
     @Test
     fun `daemons that exchange batches in any order converge on the store and never return to older records`() {
         repeat(DRAWS) { draw ->
