A daemon that hears nobody reads the store at once

Callers would see, on a daemon that is alone in its data centre and cut from all other daemons, configurations up to 1.7 to 1.8 s late of the 2 s that are allowed, although the store served it. A partition from the other daemons is no excuse in the users' rules.

Cause: such a daemon learned only from the age of its records (1.1 s) and from syncs that failed one pair of daemons after the other (350 ms each) that nobody passes records on, and then waited for its turn or until all counted as gone.

Change: if no reply has come 150 ms after its syncs, a daemon asks three others at once; if they are silent for as long, it reads the store and goes on until it hears of later reads. In calm nothing is asked in addition, and daemons that lose a leader are served by the others that they ask. A daemon that the store refuses keeps its waits.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -282,6 +282,7 @@
         follower.onRead = sync::passOn
         follower.onReadability = sync::tellReadability
         sync.onReadability = follower::tick
+        sync.onUnheard = follower::readUnheard
         reachability.prober = HttpConnectionProber(client = client, thread = thread)
         reachability.onChanged = ::onReachabilityChanged
         sync.plainLoads = PlainLoadSync(loads = plainLoads, own = { plainServerSelector.inFlight }, clock = clock)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerObserver.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerObserver.kt
@@ -72,6 +72,13 @@
         daemons.markUnresponsive(peerAddress = address, nowMillis = nowMillis)
     }
 
+    /** Records that a new connection to the daemon at [address] replaces one that has fallen silent. */
+    fun recordReplaced(address: String, failure: SilentConnectionException) = log.info(
+        "A connection to a daemon was replaced.",
+        LogField("address", address),
+        LogField("reason", failure.message),
+    )
+
     /** Outside of the call that brings the news, which ends with its reply. */
     private fun note(daemon: DaemonInfo, atMillis: Long, direct: Boolean) {
         val isNews = daemons.observe(daemon = daemon, atMillis = atMillis, direct = direct)
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/PeerSync.kt
@@ -35,11 +35,18 @@
     private val targets = SyncTargets(daemons = daemons, replica = replica, probes = probes)
     private val observer = PeerObserver(daemons = daemons, probes = probes, thread = thread, log = log)
     private val again = HashSet<String>()
+    private val silence = SyncSilence(
+        thread = thread,
+        onSilence = { thread.nowMillis().let { startSyncs(targets.alternatives(it), it) } },
+    )
     private var pulling: String? = null
 
     /** Called after news from a daemon that can't read the store, or can read it again. */
     var onReadability: () -> Unit by observer::onReadability
 
+    /** Called when no other daemon has responded to the last syncs, neither the usual ones nor others. */
+    var onUnheard: () -> Unit by silence::onLastingSilence
+
     /** The clock to keep with the peers, or null where no duties need one. */
     var trueTime: TrueTimeClock? = null
 
@@ -57,9 +64,13 @@
                 LogField("address", expired.peerAddress),
             )
         }
-        targets.due(nowMillis).filter { it !in inFlight }.forEach { startSync(it, nowMillis) }
+        startSyncs(targets.due(nowMillis), nowMillis)
+        silence.watch()
     }
 
+    private fun startSyncs(addresses: Set<String>, nowMillis: Long) =
+        addresses.filter { it !in inFlight }.forEach { startSync(it, nowMillis) }
+
     /** Tells the daemons that might read the store next whether this one can read it. */
     fun tellReadability() = syncNow(targets.readers(thread.nowMillis()))
 
@@ -113,7 +124,11 @@
             val isAgain = again.remove(address)
             when (failure) {
                 null -> reply?.let { onReply(address, it, nowMillis) }
-                is SilentConnectionException -> syncAgain(address, failure)
+                is SilentConnectionException -> {
+                    // The daemon isn't to blame; the next sync uses a new connection.
+                    observer.recordReplaced(address, failure)
+                    startSync(address, thread.nowMillis())
+                }
                 else -> observer.recordFailure(address, failure)
             }
             // After a failure as well: only further news leads to more than this one call.
@@ -142,6 +157,7 @@
         val nowMillis = thread.nowMillis()
         observer.observe(nowMillis = nowMillis, record = reply.sender, direct = true)
         probes.recordSuccess(reply.sender.peerAddress)
+        silence.recordReply()
         trueTime?.onReply(reply.sender.name, reply.trueTimeMillis, sentAtMillis)
         val isLeader = targets.leaders(nowMillis).any { it.peerAddress == address }
         if (isLeader) plainLoads?.onReply(reply)
@@ -163,16 +179,6 @@
             }
         }
     }
-
-    /** A daemon isn't to blame for a connection that has fallen silent; the next sync uses a new one. */
-    private fun syncAgain(address: String, failure: SilentConnectionException) {
-        log.info(
-            "A connection to a daemon was replaced.",
-            LogField("address", address),
-            LogField("reason", failure.message),
-        )
-        startSync(address, thread.nowMillis())
-    }
 }
 
 /** About ten round trips between data centres; a slower daemon should not place work. */
--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/SyncTargets.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/SyncTargets.kt
@@ -40,6 +40,10 @@
         return (known.map { it.peerAddress } + unseen - daemons.self.peerAddress).toSet()
     }
 
+    /** The addresses of the daemons to ask when those with which a sync was due don't respond. */
+    fun alternatives(nowMillis: Long): Set<String> =
+        (sources(nowMillis) + fallbackPeers(nowMillis)).map { it.peerAddress }.toSet() - daemons.self.peerAddress
+
     /** The leaders and the next daemons in rank, which get at once what this one has read in the place of others. */
     fun receivers(nowMillis: Long): List<DaemonInfo> =
         (leaders(nowMillis) + daemons.leaderCandidates(nowMillis).take(RECEIVERS)).distinctBy { it.name } - daemons.self
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -50,13 +50,31 @@
             when {
                 !poll.isStarted -> startPoll(topic, poll, nowMillis)
                 role.polls && !poll.isFailing -> if (poll.isDue(nowMillis)) startPoll(topic, poll, nowMillis)
-                poll.replacesReader && nowMillis >= poll.continuesAtMillis -> continuePoll(topic, poll, nowMillis)
+                poll.replacesReader && nowMillis >= poll.continuesAtMillis -> {
+                    // It goes on reading unless another daemon has read later.
+                    val readMillis = nowMillis - poll.sentAtMillis
+                    poll.replacesReader = replica.ageMillis(topic) >= readMillis - ROUNDING_MILLIS
+                    if (poll.replacesReader) startPoll(topic, poll, nowMillis)
+                }
             }
         }
         takeOver(nowMillis)
         tryNext(nowMillis)
     }
 
+    /**
+     * Reads the store at once since no other daemon responds, however young the replica is, and goes on until it hears
+     * of records that were read later. A daemon that can't read the store is left to its own waits.
+     */
+    fun readUnheard() {
+        val nowMillis = thread.nowMillis()
+        if (role.polls || role.isUnreadable) return
+        polls.filterValues { it.isDue(nowMillis) }.forEach { (topic, poll) ->
+            poll.replacesReader = true
+            startPoll(topic, poll, nowMillis)
+        }
+    }
+
     /**
      * Tries one topic at once in place of daemons that can't read the store, until the replica is overdue in an outage
      * and all take turns. The first turns may be those of daemons that get no reply.
@@ -73,13 +91,6 @@
         }
     }
 
-    /** Goes on reading in place of the usual daemon unless another one has read later. */
-    private fun continuePoll(topic: StoreTopic, poll: Poll, nowMillis: Long) {
-        val readMillis = nowMillis - poll.sentAtMillis
-        if (replica.ageMillis(topic) < readMillis - ROUNDING_MILLIS) poll.replacesReader = false
-        if (poll.replacesReader) startPoll(topic, poll, nowMillis)
-    }
-
     /**
      * Tries the topic whose last try is longest ago, so that one that can't be read delays no other one. A daemon that
      * can't read the store tries all topics, as it may have tried only one that nobody can read.
--- a/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/peer/PeerSyncTest.kt
@@ -127,6 +127,19 @@
         }
     }
 
+    // Guards against a daemon that learns only from the age of its records that nobody responds to it.
+    @Test
+    fun `a daemon to which nobody responds says so before its syncs reach their limit`() =
+        withHeldCalls { testSubject, thread, calls ->
+            val unheard = CountDownLatch(1)
+            testSubject.onUnheard = { unheard.countDown() }
+
+            thread.execute { testSubject.tick() }
+
+            calls.next().shouldNotBeNull()
+            unheard.await(SYNC_LIMIT_MILLIS, TimeUnit.MILLISECONDS) shouldBe true
+        }
+
     /** Announces [news] several times while a peer holds the reply to a sync, and expects a single sync after that. */
     private fun checkFollowUp(news: PeerSync.() -> Unit) = withHeldCalls { testSubject, thread, calls ->
         thread.execute { repeat(PIECES_OF_NEWS) { testSubject.news() } }
@@ -209,6 +222,7 @@
     private companion object {
         /** The interval between two syncs of a daemon. */
         const val SYNC_INTERVAL_MILLIS = 400L
+        const val SYNC_LIMIT_MILLIS = 350L
 
         /** The syncs of five seconds, far above a call on loopback. */
         const val SYNCS = 12
