--- a/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/lifecycle/ForwardComponents.kt
@@ -303,6 +303,7 @@
         sync.lagLog = lagLog
         follower.onReadability = sync::tellReadability
         sync.onReadability = follower::tick
+        sync.onUnheard = follower::readUnheard
         reachability.prober = HttpConnectionProber(client = client, thread = thread)
         reachability.onChanged = ::onReachabilityChanged
         sync.plainLoads = PlainLoadSync(loads = plainLoads, own = { plainServerSelector.inFlight }, clock = clock)
