Compare how far daemons are only within an era of the store

Found by reading the merged parts. After the store came back from an older copy, a daemon that had followed it was logged as behind those that still stood at the longer log, until the topic had grown past that. The log line and its gauge now compare offsets of the same era only. LatenessLogsTest has the case; it was not run on the code before.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/peer/LagLog.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/peer/LagLog.kt
@@ -8,6 +8,7 @@
 import org.bulrushtack.forward.store.POLL_INTERVALS_MILLIS
 import org.bulrushtack.forward.store.StoreReplica
 import org.bulrushtack.protocol.SyncRequest
+import org.bulrushtack.protocol.TopicPosition
 
 /** Logs when this daemon stays without records that another one has, and when it has got them. */
 internal class LagLog(
@@ -20,8 +21,10 @@
     /** Compares what the sender of [request] says that it has with the local replica. */
     fun record(request: SyncRequest, nowMillis: Long) = request.positionsList.forEach { position ->
         val topic = POLL_INTERVALS_MILLIS.keys.firstOrNull { it.name == position.topic }
-        if (topic != null && position.endOffset > replica.endOffset(topic)) {
-            val lag = lags.getOrPut(topic) { Lag(sinceMillis = nowMillis, firstEndOffset = position.endOffset) }
+        if (topic != null && isAhead(topic, position)) {
+            val lag = lags.getOrPut(topic) {
+                Lag(sinceMillis = nowMillis, firstEndOffset = position.endOffset, era = replica.era(topic))
+            }
             if (position.endOffset > lag.lastEndOffset) {
                 lag.lastEndOffset = position.endOffset
                 lag.ahead = request.sender.name
@@ -31,7 +34,7 @@
 
     /** Looks at how long records have been missing; called often. */
     fun tick(nowMillis: Long) = lags.entries.toList().forEach { (topic, lag) ->
-        val isOver = replica.endOffset(topic) >= lag.firstEndOffset
+        val isOver = replica.endOffset(topic) >= lag.firstEndOffset || replica.era(topic) != lag.era
         when {
             isOver -> end(topic, lag, nowMillis)
             !lag.isLogged && nowMillis - lag.sinceMillis >= LATE_MILLIS -> {
@@ -45,6 +48,12 @@
     /** The longest time for which records of any topic have been missing. */
     fun behindMillis(nowMillis: Long): Long = lags.values.maxOfOrNull { nowMillis - it.sinceMillis } ?: 0
 
+    /** Offsets of another era of the store say nothing about the local ones. */
+    private fun isAhead(topic: StoreTopic, position: TopicPosition): Boolean {
+        val era = CoordinationMessages.era(position.eraNumber) ?: replica.era(topic)
+        return era == replica.era(topic) && position.endOffset > replica.endOffset(topic)
+    }
+
     private fun end(topic: StoreTopic, lag: Lag, nowMillis: Long) {
         if (lag.isLogged) log.warn("This daemon is no longer behind another one.", fields(topic, lag, nowMillis))
         lags.remove(topic)
@@ -61,6 +70,7 @@
     private class Lag(
         val sinceMillis: Long,
         val firstEndOffset: Long,
+        val era: Long,
     ) {
         var lastEndOffset = Long.MIN_VALUE
         var ahead: String? = null
--- a/forward/src/test/kotlin/org/bulrushtack/forward/lifecycle/LatenessLogsTest.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/lifecycle/LatenessLogsTest.kt
@@ -143,6 +143,18 @@
         end.field("behind_millis") shouldBe "2100"
     }
 
+    // Guards against a daemon that calls itself behind by offsets which the store has given out again.
+    @Test
+    fun `a daemon is not behind another one that counts in another era of the store`() {
+        val testSubject = FakeObservedDaemon()
+        testSubject.merge(version = 1)
+
+        testSubject.hear(number = 2, version = 9, era = 7)
+        testSubject.run(1_500)
+
+        log.lines.none { "is behind another one" in it } shouldBe true
+    }
+
     @Test
     fun `a thread that was held up is a warning with the length and the collections of garbage since the last one`() {
         val testSubject = FakeObservedDaemon()
--- a/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeObservedDaemon.kt
+++ b/forward/src/test/kotlin/org/bulrushtack/forward/testing/FakeObservedDaemon.kt
@@ -12,6 +12,7 @@
 import org.bulrushtack.forward.lifecycle.LatenessLogs
 import org.bulrushtack.forward.lifecycle.ThreadDelayLog
 import org.bulrushtack.forward.log.EventLogs
+import org.bulrushtack.forward.peer.CoordinationMessages
 import org.bulrushtack.forward.peer.DaemonMessages
 import org.bulrushtack.forward.peer.LagLog
 import org.bulrushtack.forward.store.ConfirmationLog
@@ -73,14 +74,15 @@
         source = source,
     )
 
-    /** Hears from daemon [number] that it has the configurations up to [version]. */
-    fun hear(number: Int, version: Long) {
+    /** Hears from daemon [number] that it has the configurations up to [version], in [era] of the store if known. */
+    fun hear(number: Int, version: Long, era: Long? = null) {
         val sender = FakeDaemon.info(number)
         daemons.observe(sender, atMillis = time.nowMillis(), direct = true)
         val position = TopicPosition.newBuilder()
             .setTopic(StoreTopic.OPERATOR.name)
             .setEndOffset(version + 1)
             .setAgeMillis(1)
+            .setEraNumber(CoordinationMessages.eraNumber(era))
         val request = SyncRequest.newBuilder()
             .setSender(DaemonMessages.toWire(sender, ageMillis = 0))
             .addPositions(position)
