Keep later entries of servers, and data centres out, when the store comes back from an older copy

The copy's entry of an earlier lifetime or heartbeat replaced a later one, so that requests could go to an address that has been given to another server. Such entries are not taken now, and data centres stay out for 10 s.

--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/BackendServerState.kt
@@ -21,11 +21,10 @@
     internal fun isAfter(late: BackendServerEntry): Boolean =
         entry.leaving && late.startedAtMillis in 1 until entry.startedAtMillis
 
-    /** Whether its entry was deleted, and [restored] was written by it no later than that entry. */
-    internal fun isGone(restored: BackendServerEntry): Boolean {
-        val isNewer = restored.startedAtMillis > entry.startedAtMillis ||
-            (restored.startedAtMillis == entry.startedAtMillis && restored.sequence > entry.sequence)
-        return usableUntilMillis != null && !isNewer
+    /** Whether [restored] was written before this entry, or no later than it if the entry was deleted since. */
+    internal fun isNewerThan(restored: BackendServerEntry): Boolean {
+        val order = compareValuesBy(restored, entry, { it.startedAtMillis }, { it.sequence })
+        return order < 0 || (order == 0 && usableUntilMillis != null)
     }
 
     /** When it was lost, or null if [newer] was read since, at [readAtMillis], or has another address or lifetime. */
--- a/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
+++ b/core/src/main/kotlin/org/bulrushtack/core/fleet/FleetRegion.kt
@@ -11,8 +11,9 @@
     /**
      * Adds or replaces a server's entry, which was read from the store at [readAtMillis]. A server that said that it
      * leaves stays leaving until a later lifetime; one that was found lost stays lost unless the entry was read after
-     * that. If the store came back from an older copy ([isRestored]), the entry of a server that is gone since is not
-     * taken, as long as its last requests may run. Returns whether the entry was taken.
+     * that. If the store came back from an older copy ([isRestored]), an entry that was written before the known one is
+     * not taken, nor that of a server that is gone since, as long as its last requests may run. Returns whether the
+     * entry was taken.
      */
     public fun put(
         entry: BackendServerEntry,
@@ -21,7 +22,7 @@
         isRestored: Boolean = false,
     ): Boolean {
         val previous = servers[entry.id]
-        val isOutdated = previous != null && (previous.isAfter(entry) || (isRestored && previous.isGone(entry)))
+        val isOutdated = previous != null && (previous.isAfter(entry) || (isRestored && previous.isNewerThan(entry)))
         if (!isOutdated) {
             servers[entry.id] = BackendServerState(
                 entry = entry.copy(leaving = entry.leaving || previous?.hasLeft(entry) == true),
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/FleetUpdater.kt
@@ -54,7 +54,7 @@
     /** Takes a data centre out or brings it back; one that only an older copy lacks stays out for a while. */
     fun setTakenOut(update: StoreUpdate.DataCentre, record: StoreRecord, context: UpdateContext) {
         if (context.isRestored && !update.takenOut) {
-            returnsAtMillis[update.name] = context.nowMillis + context.dropDelayMillis
+            returnsAtMillis[update.name] = context.nowMillis + RESTORED_HOLD_MILLIS
         } else {
             returnsAtMillis.remove(update.name)
             applyTakenOut(update, record, context)
@@ -91,3 +91,6 @@
         LogField("source", context.source),
     )
 }
+
+/** Operators have written their records again by then, also if they take the store for unstable at first. */
+private const val RESTORED_HOLD_MILLIS = 10_000L
--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreReplica.kt
@@ -46,7 +46,6 @@
         val replica = topics.getValue(topic).replica
         val isLaterEra = replica.eraOf(batch) > replica.era
         val isRestored = isLaterEra && replica.isRestoredBy(batch)
-        applier.tick(nowMillis)
         if (!replica.accepts(batch)) {
             replica.merge(batch)
             return
@@ -67,6 +66,7 @@
             unreadMillis = unreadMillis,
         )
         topics.getValue(topic).application.apply(changed, context)
+        applier.tick(nowMillis)
         if (isRestored) onRestored(topic)
     }
 
