Ask the store at once for a whole topic only after a part of one

A store that left out its era in the response for a whole topic would have been asked again without a pause. No test; by reading.

--- a/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
+++ b/forward/src/main/kotlin/org/bulrushtack/forward/store/StoreFollower.kt
@@ -166,7 +166,7 @@
                 polls.values.forEach { it.isFailing = false }
                 replica.merge(topic, batch, ageMillis = tookMillis, source = SOURCE)
                 review { recordSuccess(topic, nowMillis) }
-                if (replica.needsWhole(topic)) startPoll(topic, poll, nowMillis)
+                if (replica.needsWhole(topic) && !batch.complete) startPoll(topic, poll, nowMillis)
                 startOthers(nowMillis)
                 if (!role.isReader || role.isSubstitute) onRead(batch.records.isNotEmpty())
             },
